Common: structured log lines, a clock that counts suspensions

Lines carry named fields; in the background they go to standard output through a bounded queue, and lines above a rate are dropped and counted, so that logging never blocks a request.

--- a/source/common/clock.cpp
+++ b/source/common/clock.cpp
@@ -1,5 +1,7 @@
 #include "common/clock.hpp"
 
+#include <ctime>
+
 namespace fireflysail
 {
 
@@ -13,6 +15,20 @@
     return std::chrono::system_clock::now();
 }
 
+time_point boot_clock::now() const
+{
+    timespec read{};
+    clock_gettime(CLOCK_BOOTTIME, &read);
+    return time_point{
+        std::chrono::seconds{read.tv_sec} +
+        std::chrono::nanoseconds{read.tv_nsec}};
+}
+
+wall_time boot_clock::wall_now() const
+{
+    return std::chrono::system_clock::now();
+}
+
 time_point manual_clock::now() const
 {
     return time_point{duration{this->elapsed.load(std::memory_order_acquire)}};
--- a/source/common/clock.hpp
+++ b/source/common/clock.hpp
@@ -31,6 +31,15 @@
     wall_time wall_now() const override;
 };
 
+/// Like system_clock, but its monotonic time also counts the time that the
+/// machine was suspended. For leases and ages, which go on meanwhile.
+class boot_clock final : public clock
+{
+public:
+    time_point now() const override;
+    wall_time wall_now() const override;
+};
+
 /// A clock that moves only when told to; safe to read from many threads.
 class manual_clock final : public clock
 {
--- a/source/common/log.cpp
+++ b/source/common/log.cpp
@@ -2,10 +2,19 @@
 
 #include <fmt/chrono.h>
 
+#include <spdlog/async_logger.h>
+#include <spdlog/details/thread_pool.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
+#include <iterator>
+#include <memory>
+#include <mutex>
 
 namespace fireflysail::log
 {
@@ -27,7 +36,7 @@
     "limits",
     "membership",
     "control",
-    "platform",
+    "store",
     "backend",
     "peer",
     "api",
@@ -70,6 +79,146 @@
     return escaped;
 }
 
+/// Lines that the queue of the background writer holds.
+constexpr std::size_t queue_lines = 1024;
+
+/// Structured lines a second, above which they are dropped; those at warning
+/// and above have as many again. Bounds what logging costs under load.
+constexpr double lines_per_second = 300;
+
+std::atomic<std::uint64_t> dropped{0};
+
+/// Token bucket over one second's worth of lines.
+class line_rate
+{
+public:
+    bool take()
+    {
+        const std::lock_guard lock{this->mutex};
+        const auto now = std::chrono::steady_clock::now();
+        const std::chrono::duration<double> passed = now - this->refilled;
+        this->refilled = now;
+        this->tokens = std::min(
+            lines_per_second, this->tokens + passed.count() * lines_per_second);
+        if (this->tokens < 1)
+        {
+            return false;
+        }
+        this->tokens -= 1;
+        return true;
+    }
+
+private:
+    std::mutex mutex;
+    double tokens = lines_per_second;
+    std::chrono::steady_clock::time_point refilled =
+        std::chrono::steady_clock::now();
+};
+
+bool may_write(level at)
+{
+    static std::array<line_rate, 2> rates;
+    const bool written = rates.at(at >= level::warning ? 1 : 0).take();
+    if (!written)
+    {
+        dropped.fetch_add(1, std::memory_order_relaxed);
+    }
+    return written;
+}
+
+/// Hands lines to a thread that writes them to standard output.
+class background_writer
+{
+public:
+    background_writer()
+        : pool{std::make_shared<spdlog::details::thread_pool>(queue_lines, 1)}
+        , logger{std::make_shared<spdlog::async_logger>(
+              "stdout",
+              std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+              this->pool,
+              spdlog::async_overflow_policy::overrun_oldest)}
+    {
+        auto plain = std::make_unique<spdlog::pattern_formatter>(
+            "%v", spdlog::pattern_time_type::utc, "");
+        this->logger->set_formatter(std::move(plain));
+        this->logger->set_level(spdlog::level::trace);
+        this->logger->flush_on(spdlog::level::trace);
+    }
+
+    void write(const std::string& line)
+    {
+        this->logger->log(spdlog::level::info, spdlog::string_view_t{line});
+    }
+
+    std::uint64_t overrun() const
+    {
+        return this->pool->overrun_counter();
+    }
+
+private:
+    std::shared_ptr<spdlog::details::thread_pool> pool;
+    std::shared_ptr<spdlog::async_logger> logger;
+};
+
+std::unique_ptr<background_writer> background;
+
+void emit(std::string line)
+{
+    if (background)
+    {
+        background->write(line);
+        return;
+    }
+    // One call, so that lines of several threads do not mix.
+    std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+std::string start_of_line(level at, channel from, bool as_json)
+{
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+    const auto millis = now.time_since_epoch().count() % 1000;
+    const auto seconds = std::chrono::system_clock::to_time_t(now);
+    const auto level_name = level_names.at(static_cast<std::size_t>(at));
+    const auto channel_name = channel_names.at(static_cast<std::size_t>(from));
+    return as_json ? fmt::format(
+                         "{{\"time\":\"{:%FT%T}.{:03}Z\",\"level\":\"{}\","
+                         "\"channel\":\"{}\"",
+                         fmt::gmtime(seconds),
+                         millis,
+                         level_name,
+                         channel_name)
+                   : fmt::format(
+                         "{:%FT%T}.{:03}Z {} [{}]",
+                         fmt::gmtime(seconds),
+                         millis,
+                         level_name,
+                         channel_name);
+}
+
+struct value_writer
+{
+    std::string& line;
+    bool as_json;
+
+    void operator()(std::string_view text) const
+    {
+        this->line +=
+            this->as_json ? "\"" + escape_json(text) + "\"" : escape_text(text);
+    }
+
+    void operator()(double number) const
+    {
+        fmt::format_to(std::back_inserter(this->line), "{:.2f}", number);
+    }
+
+    template <class Other>
+    void operator()(Other other) const
+    {
+        fmt::format_to(std::back_inserter(this->line), "{}", other);
+    }
+};
+
 } // namespace
 
 void configure(level lowest, format shape)
@@ -85,33 +234,57 @@
 
 void write(level at, channel from, std::string_view message)
 {
-    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-    const auto millis = now.time_since_epoch().count() % 1000;
-    const auto seconds = std::chrono::system_clock::to_time_t(now);
-    const auto level_name = level_names.at(static_cast<std::size_t>(at));
-    const auto channel_name = channel_names.at(static_cast<std::size_t>(from));
+    if (!enabled(at))
+    {
+        return;
+    }
     const bool as_json =
         line_format.load(std::memory_order_relaxed) == format::json;
-    const auto line = as_json
-                          ? fmt::format(
-                                "{{\"time\":\"{:%FT%T}.{:03}Z\",\"level\":"
-                                "\"{}\",\"channel\":\"{}\",\"message\":\"{}\"}}"
-                                "\n",
-                                fmt::gmtime(seconds),
-                                millis,
-                                level_name,
-                                channel_name,
-                                escape_json(message))
-                          : fmt::format(
-                                "{:%FT%T}.{:03}Z {} [{}] {}\n",
-                                fmt::gmtime(seconds),
-                                millis,
-                                level_name,
-                                channel_name,
-                                escape_text(message));
-    // One call, so that lines of several threads do not mix.
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    const std::string rest =
+        as_json ? fmt::format(",\"message\":\"{}\"}}\n", escape_json(message))
+                : fmt::format(" {}\n", escape_text(message));
+    emit(start_of_line(at, from, as_json) + rest);
+}
+
+void event(
+    level at,
+    channel from,
+    std::string_view name,
+    std::initializer_list<field> fields)
+{
+    if (!enabled(at) || !may_write(at))
+    {
+        return;
+    }
+    const bool as_json =
+        line_format.load(std::memory_order_relaxed) == format::json;
+    std::string line = start_of_line(at, from, as_json);
+    line += as_json ? fmt::format(",\"event\":\"{}\"", name)
+                    : fmt::format(" {}", name);
+    for (const field& entry : fields)
+    {
+        line += as_json ? fmt::format(",\"{}\":", entry.name)
+                        : fmt::format(" {}=", entry.name);
+        std::visit(value_writer{line, as_json}, entry.content.content);
+    }
+    line += as_json ? "}\n" : "\n";
+    emit(std::move(line));
+}
+
+void start_background_output()
+{
+    background = std::make_unique<background_writer>();
+}
+
+void stop_background_output()
+{
+    background.reset();
+}
+
+std::uint64_t dropped_lines()
+{
+    const std::uint64_t overrun = background ? background->overrun() : 0;
+    return dropped.load(std::memory_order_relaxed) + overrun;
 }
 
 } // namespace fireflysail::log
--- a/source/common/log.hpp
+++ b/source/common/log.hpp
@@ -2,9 +2,13 @@
 
 #include <fmt/format.h>
 
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 
 namespace fireflysail::log
 {
@@ -33,7 +37,7 @@
     limits,
     membership,
     control,
-    platform,
+    store,
     backend,
     peer,
     api,
@@ -43,11 +47,71 @@
 /// Sets the lowest level written and the format; called once at start.
 void configure(level lowest, format shape);
 
+/// From here on lines go to standard output through a bounded queue and a
+/// thread of its own. Never blocks: lines that find no room are dropped, and
+/// so are those above the rate; their number is told by dropped_lines().
+void start_background_output();
+
+/// Writes what is queued and ends the thread.
+void stop_background_output();
+
+/// Lines that were not written since the start.
+std::uint64_t dropped_lines();
+
 bool enabled(level at);
 
-/// Writes one line to standard error.
+/// Writes one line.
 void write(level at, channel from, std::string_view message);
 
+/// Value of one field of a structured line.
+class value
+{
+public:
+    template <std::convertible_to<std::string_view> Text>
+    value(const Text& text)
+        : content{std::string_view{text}}
+    {
+    }
+
+    template <std::unsigned_integral Number>
+    value(Number number)
+        : content{static_cast<std::uint64_t>(number)}
+    {
+    }
+
+    template <std::signed_integral Number>
+    value(Number number)
+        : content{static_cast<std::int64_t>(number)}
+    {
+    }
+
+    value(double number)
+        : content{number}
+    {
+    }
+
+    value(bool flag)
+        : content{flag}
+    {
+    }
+
+    std::variant<std::string_view, std::uint64_t, std::int64_t, double, bool>
+        content;
+};
+
+struct field
+{
+    std::string_view name;
+    value content;
+};
+
+/// Writes one line that names what happened, with the fields that decided it.
+void event(
+    level at,
+    channel from,
+    std::string_view name,
+    std::initializer_list<field> fields);
+
 template <class... Args>
 void print(
     level at, channel from, fmt::format_string<Args...> text, Args&&... args)
