--- a/source/blackboard/fleet.hpp
+++ b/source/blackboard/fleet.hpp
@@ -83,6 +83,14 @@
     load_report load;
     /// False while probes and requests to it fail.
     bool healthy = true;
+    /// Service that the engine belongs to; empty where models alone tell.
+    service_id service;
+    /// Memory for layers and KV cache; zero while unknown.
+    byte_count memory;
+    /// Start of this life of the engine, in Unix milliseconds by its own
+    /// account: tells two lives under one id apart. Never compared with a
+    /// local clock.
+    std::uint64_t started_at_ms = 0;
 };
 
 /// One backend server of a plain service.
@@ -94,6 +102,8 @@
     zone_id zone;
     server_mark mark = server_mark::serving;
     bool healthy = true;
+    /// Requests that it runs at once; zero while unknown.
+    std::uint32_t slots = 0;
 };
 
 /// Shape of a model: all holdings of it are ranges within [0, layers).
@@ -101,6 +111,9 @@
 {
     model_id id;
     std::uint32_t layers = 0;
+    /// Links between zones are scarce: pipelines cross only while no zone
+    /// holds the whole model.
+    bool keep_in_zone = false;
 };
 
 /// One-way delay between two availability zones (unordered pair), added to
--- /dev/null
+++ b/source/settings/node_settings.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "blackboard/fleet.hpp"
+#include "common/clock.hpp"
+#include "common/identifiers.hpp"
+#include "common/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// Calls a second that the store takes from all instances together.
+struct store_rates
+{
+    double reads = 2000;
+    double writes = 400;
+};
+
+/// Promises to operators and callers that the platform states in figures.
+struct service_bounds
+{
+    /// A leaving backend server gets no request later than this after the
+    /// store acknowledged its leaving.
+    duration drain = std::chrono::seconds{2};
+    /// From the request to stop until the process is killed.
+    duration stop_grace = std::chrono::seconds{8};
+    /// Until a new configuration is in force.
+    duration config_in_force = std::chrono::seconds{2};
+    /// Retries, as a share of the requests for a service, and the number on
+    /// top of it, in each window over all instances.
+    double retry_share = 0.2;
+    double retry_slack = 200;
+    duration retry_window = std::chrono::seconds{10};
+    /// A stage that hangs holds up its streams this long before they are cut.
+    duration stage_stall = std::chrono::seconds{2};
+    /// Interval at which backend servers renew their entries in the store.
+    duration server_heartbeat = std::chrono::milliseconds{1200};
+};
+
+/// What an instance on the platform is told when it starts.
+struct node_settings
+{
+    instance_id self;
+    zone_id zone;
+    region_id region;
+    /// Requests of callers.
+    endpoint callers;
+    /// Asked by the balancer whether the instance takes new connections.
+    endpoint readiness;
+    /// Metrics, and what instances tell one another.
+    endpoint control;
+    endpoint store;
+    store_rates rates;
+    service_bounds bounds;
+    byte_count memory;
+    std::uint32_t descriptors = 1024;
+    std::vector<endpoint> seeds;
+};
+
+} // namespace fireflysail
