--- a/source/routing/candidates.cpp
+++ b/source/routing/candidates.cpp
@@ -335,6 +335,31 @@
     return found.take();
 }
 
+std::vector<pipeline> find_local_candidates(const stage_graph& graph)
+{
+    candidate_list found;
+    for (std::uint32_t zone = 0; zone < graph.zones.size(); ++zone)
+    {
+        stage_graph local = graph;
+        std::erase_if(
+            local.engines,
+            [zone](const graph_engine& holder)
+            {
+                return holder.zone != zone;
+            });
+        find_boundaries(local);
+        for (pipeline& candidate : find_candidates(local))
+        {
+            found.add(std::move(candidate));
+        }
+    }
+    if (found.total_share() <= 0)
+    {
+        add_nearest(graph, found);
+    }
+    return found.take();
+}
+
 pipeline find_cheapest(const stage_graph& graph)
 {
     return make_pipeline(
--- a/source/routing/candidates.hpp
+++ b/source/routing/candidates.hpp
@@ -12,6 +12,10 @@
 /// far as the slowest layers of the fleet allow.
 std::vector<pipeline> find_candidates(const stage_graph& graph);
 
+/// Pipelines that each stay within one zone. While no zone holds the whole
+/// model, the ones that cross to another the fewest times.
+std::vector<pipeline> find_local_candidates(const stage_graph& graph);
+
 /// Pipelines whose shares use every engine as far as the slowest layers of the
 /// fleet allow; the shares add up to the flow that the pipelines carry.
 std::vector<pipeline> find_cover(const stage_graph& graph);
--- /dev/null
+++ b/source/routing/layer_layout.cpp
@@ -0,0 +1,380 @@
+#include "routing/layer_layout.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+layer_range make_range(std::uint32_t first, std::uint32_t last)
+{
+    return {layer_index{first}, layer_index{last}};
+}
+
+/// Plan of one zone, on a copy of its engines whose ranges follow the steps.
+class zone_layout
+{
+public:
+    zone_layout(
+        std::vector<layout_engine> members,
+        std::uint32_t layers,
+        const layout_options& options)
+        : members{std::move(members)}
+        , layers{layers}
+        , options{options}
+    {
+        std::ranges::sort(this->members, {}, &layout_engine::id);
+    }
+
+    std::vector<layout_step> run()
+    {
+        const auto is_placed = [](const layout_engine& candidate)
+        {
+            return candidate.held.has_value();
+        };
+        if (!this->can_hold_model())
+        {
+            return {};
+        }
+        if (std::ranges::none_of(this->members, is_placed))
+        {
+            this->split(this->all(), 0, this->layers);
+            return std::move(this->steps);
+        }
+        while (const auto hole = this->first_hole())
+        {
+            if (!this->fill(*hole))
+            {
+                break;
+            }
+        }
+        this->employ_empty();
+        return std::move(this->steps);
+    }
+
+private:
+    using group = std::vector<layout_engine*>;
+
+    group all()
+    {
+        group everyone;
+        std::ranges::transform(
+            this->members,
+            std::back_inserter(everyone),
+            [](layout_engine& member)
+            {
+                return &member;
+            });
+        return everyone;
+    }
+
+    bool can_hold_model() const
+    {
+        const auto sum = std::accumulate(
+            this->members.begin(),
+            this->members.end(),
+            std::uint32_t{0},
+            [](std::uint32_t total, const layout_engine& member)
+            {
+                return total + member.most_layers;
+            });
+        return sum >= this->layers;
+    }
+
+    std::uint32_t limit(const layout_engine& member) const
+    {
+        return static_cast<std::uint32_t>(
+            std::floor(member.most_layers * this->options.repair_fill));
+    }
+
+    std::uint32_t spare(const layout_engine& member) const
+    {
+        const std::uint32_t held = member.held ? member.held->size() : 0;
+        const std::uint32_t most = this->limit(member);
+        return most > held ? most - held : 0;
+    }
+
+    void place(layout_engine& member, layer_range range)
+    {
+        if (member.held == range)
+        {
+            return;
+        }
+        member.held = range;
+        std::erase_if(
+            this->steps,
+            [&member](const layout_step& step)
+            {
+                return step.server == member.id;
+            });
+        this->steps.push_back({member.id, range});
+    }
+
+    /// Gives [first, last) to the group, in its order, by memory.
+    void split(const group& among, std::uint32_t first, std::uint32_t last)
+    {
+        const auto total = std::accumulate(
+            among.begin(),
+            among.end(),
+            std::uint32_t{0},
+            [](std::uint32_t sum, const layout_engine* member)
+            {
+                return sum + member->most_layers;
+            });
+        std::uint32_t memory_before = 0;
+        std::uint32_t at = first;
+        for (layout_engine* member : among)
+        {
+            memory_before += member->most_layers;
+            const auto ideal = static_cast<std::uint32_t>(std::lround(
+                static_cast<double>(last - first) * memory_before / total));
+            const std::uint32_t end =
+                std::min(first + ideal, at + member->most_layers);
+            if (end > at)
+            {
+                this->place(*member, make_range(at, end));
+            }
+            at = std::max(at, end);
+        }
+    }
+
+    std::optional<layer_range> first_hole() const
+    {
+        std::vector<bool> covered(this->layers, false);
+        for (const layout_engine& member : this->members)
+        {
+            if (!member.held)
+            {
+                continue;
+            }
+            const auto end = std::min(member.held->last.value(), this->layers);
+            for (auto i = member.held->first.value(); i < end; ++i)
+            {
+                covered[i] = true;
+            }
+        }
+        const auto begin = std::ranges::find(covered, false);
+        if (begin == covered.end())
+        {
+            return std::nullopt;
+        }
+        const auto end = std::find(begin, covered.end(), true);
+        return make_range(
+            static_cast<std::uint32_t>(begin - covered.begin()),
+            static_cast<std::uint32_t>(end - covered.begin()));
+    }
+
+    bool fill(layer_range hole)
+    {
+        return this->fill_with_empty(hole) ||
+               this->fill_with_neighbours(hole) || this->split_around(hole);
+    }
+
+    bool fill_with_empty(layer_range hole)
+    {
+        const auto found = std::ranges::find_if(
+            this->members,
+            [this, hole](const layout_engine& member)
+            {
+                return !member.held && this->limit(member) >= hole.size();
+            });
+        if (found == this->members.end())
+        {
+            return false;
+        }
+        this->place(*found, hole);
+        return true;
+    }
+
+    /// The engine with the most room whose range ends or begins at the hole.
+    template <class Touches>
+    layout_engine* neighbour(Touches&& touches)
+    {
+        layout_engine* best = nullptr;
+        for (layout_engine& member : this->members)
+        {
+            const bool better =
+                best == nullptr || this->spare(member) > this->spare(*best);
+            if (member.held && touches(*member.held) && better)
+            {
+                best = &member;
+            }
+        }
+        return best;
+    }
+
+    bool fill_with_neighbours(layer_range hole)
+    {
+        layout_engine* before = this->neighbour(
+            [hole](const layer_range& range)
+            {
+                return range.first < hole.first && range.last >= hole.first;
+            });
+        layout_engine* after = this->neighbour(
+            [hole](const layer_range& range)
+            {
+                return range.first <= hole.last && range.last > hole.last;
+            });
+        const std::uint32_t room_before =
+            before == nullptr ? 0 : this->spare(*before);
+        const std::uint32_t room_after =
+            after == nullptr ? 0 : this->spare(*after);
+        if (room_before + room_after < hole.size())
+        {
+            return false;
+        }
+        const auto fair = static_cast<std::uint32_t>(std::lround(
+            static_cast<double>(hole.size()) * room_before /
+            (room_before + room_after)));
+        const std::uint32_t to_before = std::clamp(
+            fair,
+            hole.size() - std::min(hole.size(), room_after),
+            std::min(hole.size(), room_before));
+        const std::uint32_t cut = hole.first.value() + to_before;
+        if (to_before > 0)
+        {
+            this->place(*before, make_range(before->held->first.value(), cut));
+        }
+        if (to_before < hole.size())
+        {
+            this->place(*after, make_range(cut, after->held->last.value()));
+        }
+        return true;
+    }
+
+    /// Splits the smallest run of engines around the hole that has the room.
+    bool split_around(layer_range hole)
+    {
+        group placed;
+        for (layout_engine& member : this->members)
+        {
+            if (member.held)
+            {
+                placed.push_back(&member);
+            }
+        }
+        std::ranges::sort(
+            placed,
+            [](const layout_engine* a, const layout_engine* b)
+            {
+                return a->held->first < b->held->first;
+            });
+        const auto middle = std::ranges::find_if(
+            placed,
+            [hole](const layout_engine* member)
+            {
+                return member->held->first >= hole.first;
+            });
+        auto from = middle;
+        auto to = middle;
+        while (from != placed.begin() || to != placed.end())
+        {
+            const bool left_next =
+                from != placed.begin() &&
+                (to == placed.end() || middle - from <= to - middle);
+            left_next ? --from : ++to;
+            const group window(from, to);
+            const auto span = this->span_of(window, hole);
+            const auto room = std::accumulate(
+                window.begin(),
+                window.end(),
+                std::uint32_t{0},
+                [this](std::uint32_t sum, const layout_engine* member)
+                {
+                    return sum + this->limit(*member);
+                });
+            if (room >= span.size())
+            {
+                this->split(window, span.first.value(), span.last.value());
+                return true;
+            }
+        }
+        this->split(placed, 0, this->layers);
+        return !this->first_hole();
+    }
+
+    static layer_range span_of(const group& window, layer_range hole)
+    {
+        auto first = hole.first;
+        auto last = hole.last;
+        for (const layout_engine* member : window)
+        {
+            first = std::min(first, member->held->first);
+            last = std::max(last, member->held->last);
+        }
+        return {first, last};
+    }
+
+    /// Engines without layers share those of the engine that is fullest.
+    void employ_empty()
+    {
+        for (layout_engine& empty : this->members)
+        {
+            if (empty.held || empty.most_layers == 0)
+            {
+                continue;
+            }
+            std::map<layer_range, int> holders;
+            for (const layout_engine& member : this->members)
+            {
+                if (member.held)
+                {
+                    ++holders[*member.held];
+                }
+            }
+            const auto fullest = std::ranges::max_element(
+                this->members,
+                {},
+                [&holders](const layout_engine& member)
+                {
+                    const bool alone =
+                        member.held && holders.at(*member.held) == 1;
+                    return alone ? static_cast<double>(member.held->size()) /
+                                       member.most_layers
+                                 : 0.0;
+                });
+            if (!fullest->held)
+            {
+                return;
+            }
+            const auto first = fullest->held->first.value();
+            const auto size =
+                std::min(fullest->held->size(), this->limit(empty));
+            this->place(empty, make_range(first, first + size));
+        }
+    }
+
+    std::vector<layout_engine> members;
+    const std::uint32_t layers;
+    const layout_options& options;
+    std::vector<layout_step> steps;
+};
+
+} // namespace
+
+std::vector<layout_step> plan_layout(
+    const std::vector<layout_engine>& engines,
+    std::uint32_t layers,
+    const layout_options& options)
+{
+    std::map<zone_id, std::vector<layout_engine>> zones;
+    for (const layout_engine& candidate : engines)
+    {
+        zones[candidate.zone].push_back(candidate);
+    }
+    std::vector<layout_step> steps;
+    for (auto& [zone, members] : zones)
+    {
+        auto of_zone = zone_layout{std::move(members), layers, options}.run();
+        std::ranges::move(of_zone, std::back_inserter(steps));
+    }
+    return steps;
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/routing/layer_layout.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "common/identifiers.hpp"
+#include "common/units.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// An engine that may hold a range of a model's layers.
+struct layout_engine
+{
+    server_id id;
+    zone_id zone;
+    /// Layers that its memory holds when nothing is left for KV cache.
+    std::uint32_t most_layers = 0;
+    /// What it holds, or was ordered to hold.
+    std::optional<layer_range> held;
+};
+
+struct layout_options
+{
+    /// Part of its layers' worth of memory that an engine may fill when it
+    /// takes over lost layers; the rest stays for KV cache.
+    double repair_fill = 0.85;
+};
+
+struct layout_step
+{
+    server_id server;
+    layer_range layers;
+
+    auto operator<=>(const layout_step&) const = default;
+};
+
+/// Orders that give every zone which can hold the whole model one copy of it,
+/// spread over all engines of the zone in proportion to their memory. Streams
+/// that stay in a zone use no pipe between zones, and the memory that is left
+/// is KV cache. After a loss the neighbours of the hole take it over, as each
+/// then loads a few layers only; a larger part of the zone is split anew only
+/// where the neighbours lack memory. Nothing is moved that need not be.
+///
+/// Answers the load pattern of engines that crash or leave at full load.
+std::vector<layout_step> plan_layout(
+    const std::vector<layout_engine>& engines,
+    std::uint32_t layers,
+    const layout_options& options = {});
+
+} // namespace fireflysail
--- a/source/routing/planner.cpp
+++ b/source/routing/planner.cpp
@@ -109,6 +109,10 @@
         for (const model_shape& model : fleet.models)
         {
             this->layers.emplace(model.id, model.layers);
+            if (model.keep_in_zone)
+            {
+                this->local_models.insert(model.id);
+            }
         }
     }
 
@@ -319,7 +323,9 @@
         find_boundaries(graph);
         made->key = key;
         made->content = content;
-        made->candidates = find_candidates(graph);
+        made->candidates = this->local_models.contains(key.model)
+                               ? find_local_candidates(graph)
+                               : find_candidates(graph);
         made->graph = std::move(graph);
         made->step_per_stream = steps_per_stream(*made);
         double sum = 0;
@@ -425,6 +431,7 @@
     const std::shared_ptr<const route_table>& previous;
     const absl::flat_hash_set<server_id>& ejected;
     absl::flat_hash_map<model_id, std::uint32_t> layers;
+    absl::flat_hash_set<model_id> local_models;
     absl::flat_hash_map<zone_id, std::uint32_t> zones;
     std::vector<zone_id> zone_names;
     std::vector<duration> links;
--- /dev/null
+++ b/source/routing/server_balancer.cpp
@@ -0,0 +1,138 @@
+#include "routing/server_balancer.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Reported load older than this says nothing: requests take tens of
+/// milliseconds.
+constexpr duration load_lifetime = 500ms;
+
+/// Weight of a new sample of failures and response times.
+constexpr double smoothing = 0.2;
+
+/// A failure counts for half after this time, so that a server that recovered
+/// is tried again.
+constexpr duration failure_half_life = 2s;
+
+/// Cost of a server that fails every request, in slots filled.
+constexpr double failure_weight = 8;
+
+/// Cost of crossing to another zone, in slots filled: breaks ties only.
+constexpr double crossing_cost = 0.05;
+
+constexpr std::uint32_t default_slots = 8;
+
+double decayed(double rate, duration age)
+{
+    const double half_lives = std::chrono::duration<double>{age} /
+                              std::chrono::duration<double>{failure_half_life};
+    return rate * std::exp2(-half_lives);
+}
+
+} // namespace
+
+const service_server* server_balancer::choose(
+    const fleet_snapshot& fleet,
+    const service_id& service,
+    const zone_id& own_zone,
+    std::span<const server_id> excluded,
+    time_point now,
+    std::mt19937_64& random)
+{
+    const service_server* best = nullptr;
+    double lowest = 0;
+    std::size_t ties = 0;
+    for (const service_server& server : fleet.services)
+    {
+        if (server.service != service || !server.healthy ||
+            !accepts_new_work(server.mark) ||
+            std::ranges::find(excluded, server.id) != excluded.end())
+        {
+            continue;
+        }
+        const double cost = this->cost(server, own_zone, now);
+        ties = best != nullptr && cost == lowest ? ties + 1 : 1;
+        const bool wins_tie = ties > 1 && random() % ties == 0;
+        if (best == nullptr || cost < lowest || wins_tie)
+        {
+            best = &server;
+            lowest = cost;
+        }
+    }
+    return best;
+}
+
+double server_balancer::cost(
+    const service_server& server, const zone_id& own, time_point now) const
+{
+    const double crossing = server.zone == own ? 0 : crossing_cost;
+    const auto found = this->records.find(server.id);
+    if (found == this->records.end())
+    {
+        return crossing;
+    }
+    const record& known = found->second;
+    const bool fresh = now - known.reported_at < load_lifetime;
+    const std::uint32_t others =
+        fresh ? std::max(known.reported, known.in_flight) : known.in_flight;
+    const double slots = server.slots > 0 ? server.slots : default_slots;
+    return others / slots + crossing +
+           failure_weight * decayed(known.failure_rate, now - known.failed_at);
+}
+
+void server_balancer::on_sent(const server_id& server)
+{
+    ++this->records[server].in_flight;
+}
+
+void server_balancer::on_ended(
+    const server_id& server,
+    server_outcome outcome,
+    duration response_time,
+    time_point now)
+{
+    record& known = this->records[server];
+    known.in_flight -= known.in_flight > 0 ? 1 : 0;
+    const double bad = outcome == server_outcome::answered ? 0 : 1;
+    known.failure_rate = decayed(known.failure_rate, now - known.failed_at);
+    known.failure_rate += smoothing * (bad - known.failure_rate);
+    known.failed_at = now;
+    if (outcome == server_outcome::answered)
+    {
+        const double seconds =
+            std::chrono::duration<double>{response_time}.count();
+        known.response_seconds =
+            known.response_seconds == 0
+                ? seconds
+                : known.response_seconds +
+                      smoothing * (seconds - known.response_seconds);
+    }
+}
+
+void server_balancer::on_load(
+    const server_id& server,
+    std::uint32_t running,
+    std::uint32_t waiting,
+    time_point now)
+{
+    record& known = this->records[server];
+    known.reported = running + waiting;
+    known.reported_at = now;
+}
+
+std::uint32_t server_balancer::in_flight(const server_id& server) const
+{
+    const auto found = this->records.find(server);
+    return found == this->records.end() ? 0 : found->second.in_flight;
+}
+
+} // namespace fireflysail
--- a/source/serving/pipeline_router.cpp
+++ b/source/serving/pipeline_router.cpp
@@ -1,6 +1,7 @@
 #include "serving/pipeline_router.hpp"
 
 #include "common/hash.hpp"
+#include "common/log.hpp"
 #include "routing/progress_monitor.hpp"
 
 #include <algorithm>
@@ -47,6 +48,41 @@
     return slots.empty() ? 0 : *std::ranges::min_element(slots);
 }
 
+/// One line a planned pipeline.
+void log_plan(const route_table& routes, const fleet_snapshot& fleet)
+{
+    for (const auto& [key, set] : routes.sets)
+    {
+        for (const pipeline& planned : set->candidates)
+        {
+            std::string stages;
+            for (const stage& part : planned.stages)
+            {
+                const auto server =
+                    std::ranges::find(fleet.engines, part.server, &engine::id);
+                stages += fmt::format(
+                    "{}@{}={}-{} ",
+                    part.server.str(),
+                    server == fleet.engines.end() ? "" : server->zone.str(),
+                    part.layers.first.value(),
+                    part.layers.last.value());
+            }
+            log::event(
+                log::level::debug,
+                log::channel::routing,
+                "pipeline_planned",
+                {{"model", key.model.str()},
+                 {"version", key.version.str()},
+                 {"share", planned.share},
+                 {"step_ms",
+                  std::chrono::duration<double, std::milli>{planned.step_time}
+                      .count()},
+                 {"stages", stages},
+                 {"fleet_revision", fleet.version.value()}});
+        }
+    }
+}
+
 } // namespace
 
 pipeline_router::pipeline_router(
@@ -81,6 +117,7 @@
         next->addresses[server.id] = server.address;
     }
     this->take_reports(*now_fleet, *next->routes);
+    log_plan(*next->routes, *now_fleet);
     this->current.publish(std::move(next));
 }
 
