--- a/source/control/audit_trail.hpp
+++ b/source/control/audit_trail.hpp
@@ -4,7 +4,7 @@
 #include "common/result.hpp"
 #include "control/entry_kind.hpp"
 #include "control/lists_codec.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <optional>
 #include <string>
--- a/source/control/edit_checks.hpp
+++ b/source/control/edit_checks.hpp
@@ -3,7 +3,7 @@
 #include "common/clock.hpp"
 #include "common/result.hpp"
 #include "control/entry_kind.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <optional>
 #include <string>
--- a/source/control/entry_editor.hpp
+++ b/source/control/entry_editor.hpp
@@ -6,7 +6,7 @@
 #include "control/edit_checks.hpp"
 #include "control/edit_outcome.hpp"
 #include "control/entry_kind.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <optional>
 #include <string>
--- a/source/control/entry_kind.hpp
+++ b/source/control/entry_kind.hpp
@@ -2,7 +2,7 @@
 
 #include "common/result.hpp"
 #include "control/lists_codec.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <string>
 #include <string_view>
--- a/source/control/entry_reader.hpp
+++ b/source/control/entry_reader.hpp
@@ -4,7 +4,7 @@
 #include "common/result.hpp"
 #include "control/audit_trail.hpp"
 #include "control/entry_kind.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <string>
 
--- /dev/null
+++ b/source/control/fleet_builder.cpp
@@ -0,0 +1,134 @@
+#include "control/fleet_builder.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// What a crossing to another zone costs a token beside its delay. Pipes
+/// between zones are shared by all streams and their use is paid for, so
+/// pipelines stay within a zone while one there is whole.
+constexpr duration crossing_cost = 50ms;
+
+load_report idle_load(
+    const server_entry& entry,
+    const engine_profile& profile,
+    const accelerator_profile& accelerator)
+{
+    std::uint32_t held = 0;
+    for (const held_layers& range : entry.layers)
+    {
+        held += range.layers.size();
+    }
+    const double part =
+        profile.layers == 0 ? 0 : static_cast<double>(held) / profile.layers;
+    load_report load;
+    load.slots = entry.slots;
+    load.step_time = std::chrono::duration_cast<duration>(
+        profile.step_time * accelerator.step_factor * part);
+    if (profile.prefill_tokens_per_second > 0)
+    {
+        load.prefill_time_per_token =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>{
+                accelerator.prefill_factor * part /
+                profile.prefill_tokens_per_second});
+    }
+    return load;
+}
+
+engine build_engine(
+    const server_entry& entry,
+    const engine_profile& profile,
+    const accelerator_profile& accelerator)
+{
+    engine built;
+    built.id = entry.id;
+    built.address = entry.address;
+    built.zone = entry.zone;
+    built.kind = entry.kind;
+    built.mark = entry.mark;
+    built.fencing = fencing_support::refuses_old;
+    built.service = entry.service;
+    built.memory = accelerator.memory;
+    built.started_at_ms = entry.started_at_ms;
+    for (const held_layers& range : entry.layers)
+    {
+        built.holdings.push_back(
+            {model_id{entry.service.str()}, range.version, range.layers, {}});
+    }
+    built.load = idle_load(entry, profile, accelerator);
+    return built;
+}
+
+service_server build_server(const server_entry& entry)
+{
+    service_server built;
+    built.id = entry.id;
+    built.service = entry.service;
+    built.address = entry.address;
+    built.zone = entry.zone;
+    built.mark = entry.mark;
+    built.slots = entry.slots;
+    return built;
+}
+
+} // namespace
+
+const accelerator_profile*
+find_accelerator(const engine_profile& profile, const accelerator_kind& kind)
+{
+    const auto found = std::ranges::find(
+        profile.accelerators, kind, &accelerator_profile::kind);
+    return found == profile.accelerators.end() ? nullptr : &*found;
+}
+
+fleet_snapshot build_fleet(
+    const std::vector<server_entry>& entries,
+    const traffic_config& config,
+    revision version)
+{
+    fleet_snapshot fleet;
+    fleet.version = version;
+    for (const server_entry& entry : entries)
+    {
+        const auto found = config.services.find(entry.service);
+        if (found == config.services.end())
+        {
+            continue;
+        }
+        const auto& profile = found->second.engines;
+        if (!profile)
+        {
+            fleet.services.push_back(build_server(entry));
+            continue;
+        }
+        if (const auto* kind = find_accelerator(*profile, entry.kind))
+        {
+            fleet.engines.push_back(build_engine(entry, *profile, *kind));
+        }
+    }
+    for (const auto& [id, profile] : config.services)
+    {
+        if (!profile.engines)
+        {
+            continue;
+        }
+        fleet.models.push_back(
+            {model_id{id.str()}, profile.engines->layers, true});
+        for (zone_link link : profile.engines->links)
+        {
+            link.delay += crossing_cost;
+            fleet.links.push_back(std::move(link));
+        }
+    }
+    return fleet;
+}
+
+} // namespace fireflysail
--- a/source/control/fleet_controller.hpp
+++ b/source/control/fleet_controller.hpp
@@ -7,7 +7,7 @@
 #include "control/marks_codec.hpp"
 #include "control/object_table.hpp"
 #include "control/stream_position.hpp"
-#include "platform/watch_hub.hpp"
+#include "store/watch_hub.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
--- /dev/null
+++ b/source/control/layout_controller.cpp
@@ -0,0 +1,203 @@
+#include "control/layout_controller.hpp"
+
+#include "common/log.hpp"
+#include "control/fleet_builder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+std::string_view name_of(order_answer answer)
+{
+    switch (answer)
+    {
+    case order_answer::accepted:
+        return "accepted";
+    case order_answer::conflict:
+        return "conflict";
+    case order_answer::fenced:
+        return "fenced";
+    case order_answer::other_server:
+        return "other_server";
+    case order_answer::not_sent:
+        return "not_sent";
+    case order_answer::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::optional<layer_range> range_of(const engine& server)
+{
+    return server.holdings.empty()
+               ? std::nullopt
+               : std::optional{server.holdings.front().layers};
+}
+
+} // namespace
+
+layout_controller::layout_controller(
+    blackboard& board,
+    engine_control& engines,
+    const clock& time,
+    layout_controller_options options)
+    : board{board}
+    , engines{engines}
+    , time{time}
+    , options{options}
+{
+}
+
+void layout_controller::step(
+    const leadership& led, const std::function<bool()>& still_leads)
+{
+    const auto config = this->board.traffic.load();
+    const auto fleet = this->board.fleet.load();
+    const time_point now = this->time.now();
+    if (!config || !this->has_settled(*fleet, now))
+    {
+        return;
+    }
+    this->forget_settled(*fleet, now);
+    for (const auto& [id, service] : config->services)
+    {
+        if (!service.engines || service.engines->layers == 0)
+        {
+            continue;
+        }
+        const auto steps = plan_layout(
+            this->describe(*fleet, id, *service.engines),
+            service.engines->layers);
+        for (const layout_step& wanted : steps)
+        {
+            const auto server =
+                std::ranges::find(fleet->engines, wanted.server, &engine::id);
+            const auto known = this->pending.find(wanted.server);
+            const bool waits = known != this->pending.end() &&
+                               this->time.now() < known->second.retry_at;
+            if (server == fleet->engines.end() || waits)
+            {
+                continue;
+            }
+            if (!still_leads())
+            {
+                return;
+            }
+            this->send(*server, wanted, *service.engines, led.fence);
+        }
+    }
+}
+
+bool layout_controller::has_settled(const fleet_snapshot& fleet, time_point now)
+{
+    const auto held = std::ranges::any_of(
+        fleet.engines,
+        [](const engine& server)
+        {
+            return !server.holdings.empty();
+        });
+    if (fleet.engines.size() != this->engines_seen)
+    {
+        this->engines_seen = fleet.engines.size();
+        this->last_new_engine = now;
+    }
+    return held || now - this->last_new_engine >= this->options.settle_time;
+}
+
+void layout_controller::forget_settled(
+    const fleet_snapshot& fleet, time_point now)
+{
+    std::erase_if(
+        this->pending,
+        [&](const auto& item)
+        {
+            const auto& [id, order] = item;
+            const auto server =
+                std::ranges::find(fleet.engines, id, &engine::id);
+            return server == fleet.engines.end() ||
+                   server->started_at_ms != order.started_at_ms ||
+                   range_of(*server) == order.layers || now >= order.give_up_at;
+        });
+}
+
+std::vector<layout_engine> layout_controller::describe(
+    const fleet_snapshot& fleet,
+    const service_id& service,
+    const engine_profile& profile) const
+{
+    std::vector<layout_engine> described;
+    for (const engine& server : fleet.engines)
+    {
+        if (server.service != service || !server.healthy ||
+            !accepts_new_work(server.mark))
+        {
+            continue;
+        }
+        layout_engine entry;
+        entry.id = server.id;
+        entry.zone = server.zone;
+        entry.most_layers =
+            profile.layer_size.value() == 0
+                ? 0
+                : static_cast<std::uint32_t>(
+                      server.memory.value() / profile.layer_size.value());
+        const auto known = this->pending.find(server.id);
+        const bool ordered =
+            known != this->pending.end() && known->second.accepted;
+        entry.held =
+            ordered ? std::optional{known->second.layers} : range_of(server);
+        described.push_back(std::move(entry));
+    }
+    return described;
+}
+
+void layout_controller::send(
+    const engine& server,
+    const layout_step& step,
+    const engine_profile& profile,
+    fencing_number fence)
+{
+    pending_order order;
+    order.layers = step.layers;
+    order.started_at_ms = server.started_at_ms;
+    const auto status = this->engines.status(server);
+    order_answer answer = order_answer::not_sent;
+    if (status)
+    {
+        answer = this->engines.place(
+            server,
+            {step.layers,
+             release_mode::finish_running,
+             fence,
+             status.value().orders_accepted});
+    }
+    const time_point now = this->time.now();
+    order.accepted = answer == order_answer::accepted;
+    order.retry_at = now + this->options.retry_pause;
+    const double share =
+        static_cast<double>(step.layers.size()) / profile.layers;
+    order.give_up_at =
+        order.accepted
+            ? now + this->options.report_delay +
+                  std::chrono::duration_cast<duration>(
+                      profile.load_time * share * this->options.load_patience)
+            : order.retry_at;
+    log::event(
+        order.accepted ? log::level::info : log::level::warning,
+        log::channel::control,
+        "layers_ordered",
+        {{"server", server.id.str()},
+         {"zone", server.zone.str()},
+         {"first", step.layers.first.value()},
+         {"last", step.layers.last.value()},
+         {"fence", fence.value()},
+         {"outcome", name_of(answer)}});
+    this->pending.insert_or_assign(server.id, order);
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/control/layout_controller.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "blackboard/blackboard.hpp"
+#include "common/clock.hpp"
+#include "control/engine_control.hpp"
+#include "control/leader_lease.hpp"
+#include "routing/layer_layout.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace fireflysail
+{
+
+struct layout_controller_options
+{
+    /// Engines enter the store one by one as a fleet starts; the first layout
+    /// waits until no new one came for this long.
+    duration settle_time = std::chrono::milliseconds{600};
+    /// Pause before an engine that did not take its order is tried again.
+    duration retry_pause = std::chrono::milliseconds{400};
+    /// An order without visible effect is given up after the time of its load,
+    /// as often as this, and the report delay on top.
+    double load_patience = 4;
+    duration report_delay = std::chrono::seconds{4};
+};
+
+/// Gives the engines the layers that the layout wants. Runs on the instance
+/// that leads; what engines hold is read from themselves, so that a new leader
+/// goes on where the last one stopped.
+class layout_controller
+{
+public:
+    layout_controller(
+        blackboard& board,
+        engine_control& engines,
+        const clock& time,
+        layout_controller_options options = {});
+
+    /// Sends the orders that are due. Ends early once `still_leads` does not
+    /// hold. Blocks for a bounded time per order.
+    void step(const leadership& led, const std::function<bool()>& still_leads);
+
+private:
+    struct pending_order
+    {
+        layer_range layers;
+        std::uint64_t started_at_ms = 0;
+        time_point give_up_at;
+        /// Not before this moment after an order that was not taken.
+        time_point retry_at;
+        bool accepted = false;
+    };
+
+    void forget_settled(const fleet_snapshot& fleet, time_point now);
+    std::vector<layout_engine> describe(
+        const fleet_snapshot& fleet,
+        const service_id& service,
+        const engine_profile& profile) const;
+    bool has_settled(const fleet_snapshot& fleet, time_point now);
+    void send(
+        const engine& server,
+        const layout_step& step,
+        const engine_profile& profile,
+        fencing_number fence);
+
+    blackboard& board;
+    engine_control& engines;
+    const clock& time;
+    const layout_controller_options options;
+    std::map<server_id, pending_order> pending;
+    std::size_t engines_seen = 0;
+    time_point last_new_engine{};
+};
+
+} // namespace fireflysail
--- a/source/control/lease_keeper.hpp
+++ b/source/control/lease_keeper.hpp
@@ -3,7 +3,7 @@
 #include "common/clock.hpp"
 #include "common/identifiers.hpp"
 #include "control/leader_lease.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <optional>
 #include <string>
--- a/source/control/lists_controller.hpp
+++ b/source/control/lists_controller.hpp
@@ -5,7 +5,7 @@
 #include "common/result.hpp"
 #include "control/lists_transfer.hpp"
 #include "control/stream_position.hpp"
-#include "platform/watch_hub.hpp"
+#include "store/watch_hub.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
--- a/source/control/order_book.hpp
+++ b/source/control/order_book.hpp
@@ -4,7 +4,7 @@
 #include "common/clock.hpp"
 #include "control/layer_coverage.hpp"
 #include "control/order_codec.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <map>
 #include <vector>
--- /dev/null
+++ b/source/control/server_directory.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "blackboard/server_entry.hpp"
+#include "common/clock.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace fireflysail
+{
+
+struct server_directory_options
+{
+    /// A gap in the contact with the store this long lets entries lapse that
+    /// their servers could not renew.
+    duration lapse_after = std::chrono::milliseconds{2500};
+    /// Servers whose entries lapsed have them back this long after the store
+    /// has returned.
+    duration return_time = std::chrono::milliseconds{1900};
+};
+
+/// The backend servers that the store lists. An entry that vanished while the
+/// store was away is kept until its server had the time to write it again: the
+/// loss of the store must not look like the loss of all servers.
+class server_directory
+{
+public:
+    explicit server_directory(server_directory_options options = {});
+
+    /// The store answered, whatever it said.
+    void on_contact(time_point now);
+
+    /// Every entry there is.
+    void replace_all(std::vector<server_entry> entries, time_point now);
+
+    void put(server_entry entry);
+    void remove(const server_id& id, time_point now);
+
+    /// Drops kept entries whose time is up; true when there were any.
+    bool expire(time_point now);
+
+    /// When expire() has something to do; none while nothing is kept.
+    std::optional<time_point> next_expiry() const;
+
+    std::vector<server_entry> entries() const;
+
+private:
+    struct listed
+    {
+        server_entry entry;
+        /// Set while the entry is kept although the store lacks it.
+        std::optional<time_point> kept_until;
+    };
+
+    void lose(listed& server, time_point now);
+    bool is_returning(time_point now) const;
+
+    server_directory_options options;
+    std::map<server_id, listed> servers;
+    std::optional<time_point> last_contact;
+    std::optional<time_point> returned_at;
+};
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/control/traffic_controller.cpp
@@ -0,0 +1,215 @@
+#include "control/traffic_controller.hpp"
+
+#include "common/log.hpp"
+#include "control/fleet_builder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fireflysail
+{
+
+traffic_controller::traffic_controller(
+    blackboard& board,
+    traffic_objects objects,
+    const clock& time,
+    std::function<void()> on_fleet)
+    : board{board}
+    , objects{std::move(objects)}
+    , time{time}
+    , on_fleet{std::move(on_fleet)}
+    , config{*this}
+    , servers{*this}
+{
+}
+
+store_consumer& traffic_controller::config_consumer()
+{
+    return this->config;
+}
+
+store_consumer& traffic_controller::servers_consumer()
+{
+    return this->servers;
+}
+
+void traffic_controller::expire()
+{
+    const absl::MutexLock lock{&this->mutex};
+    if (this->directory.expire(this->time.now()))
+    {
+        this->publish_fleet();
+    }
+}
+
+bool traffic_controller::is_complete() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->has_servers && this->board.traffic.load() != nullptr;
+}
+
+void traffic_controller::take_config(const stored_object& object)
+{
+    if (object.key.name != this->objects.config_name)
+    {
+        return;
+    }
+    auto decoded = this->objects.decode_config(object.value);
+    if (!decoded)
+    {
+        log::event(
+            log::level::error,
+            log::channel::control,
+            "config_rejected",
+            {{"revision", object.version.value()},
+             {"error", decoded.error().message()}});
+        return;
+    }
+    const auto before = this->board.traffic.load();
+    if (before && decoded.value().version <= before->version)
+    {
+        return;
+    }
+    auto next = std::make_shared<traffic_config>(std::move(decoded).value());
+    next->stored_at = object.version;
+    next->read_at = this->time.now();
+    log::event(
+        log::level::info,
+        log::channel::control,
+        "config_in_force",
+        {{"version", next->version},
+         {"revision", object.version.value()},
+         {"hosts", next->routes.size()},
+         {"keys", next->keys.size()}});
+    this->board.traffic.publish(std::move(next));
+    const absl::MutexLock lock{&this->mutex};
+    this->publish_fleet();
+}
+
+std::optional<server_entry>
+traffic_controller::decode_entry(const stored_object& object) const
+{
+    auto decoded =
+        this->objects.decode_server(server_id{object.key.name}, object.value);
+    if (!decoded)
+    {
+        log::event(
+            log::level::warning,
+            log::channel::control,
+            "server_entry_unreadable",
+            {{"server", object.key.name},
+             {"revision", object.version.value()},
+             {"bytes", object.value.size()}});
+        return std::nullopt;
+    }
+    return std::move(decoded).value();
+}
+
+void traffic_controller::publish_fleet()
+{
+    const auto known = this->board.traffic.load();
+    if (!known || !this->has_servers)
+    {
+        return;
+    }
+    this->board.fleet.publish(std::make_shared<fleet_snapshot>(
+        build_fleet(this->directory.entries(), *known, this->servers_version)));
+    this->on_fleet();
+}
+
+traffic_controller::config_reader::config_reader(traffic_controller& owner)
+    : owner{owner}
+{
+}
+
+std::vector<std::string> traffic_controller::config_reader::kinds() const
+{
+    return {this->owner.objects.config_kind};
+}
+
+void traffic_controller::config_reader::on_snapshot(
+    const store_snapshot& snapshot)
+{
+    for (const stored_object& object : snapshot.objects)
+    {
+        this->owner.take_config(object);
+    }
+}
+
+void traffic_controller::config_reader::on_events(const watch_batch& batch)
+{
+    // Only the newest of several versions matters.
+    const auto newest = std::ranges::find_if(
+        batch.events.rbegin(),
+        batch.events.rend(),
+        [this](const store_event& event)
+        {
+            return event.what == store_event::change::written &&
+                   event.object.key.name == this->owner.objects.config_name;
+        });
+    if (newest != batch.events.rend())
+    {
+        this->owner.take_config(newest->object);
+    }
+}
+
+traffic_controller::servers_reader::servers_reader(traffic_controller& owner)
+    : owner{owner}
+{
+}
+
+std::vector<std::string> traffic_controller::servers_reader::kinds() const
+{
+    return {this->owner.objects.servers_kind};
+}
+
+void traffic_controller::servers_reader::on_snapshot(
+    const store_snapshot& snapshot)
+{
+    std::vector<server_entry> entries;
+    for (const stored_object& object : snapshot.objects)
+    {
+        if (auto entry = this->owner.decode_entry(object))
+        {
+            entries.push_back(*std::move(entry));
+        }
+    }
+    const absl::MutexLock lock{&this->owner.mutex};
+    const time_point now = this->owner.time.now();
+    this->owner.directory.on_contact(now);
+    this->owner.directory.replace_all(std::move(entries), now);
+    this->owner.servers_version = snapshot.version;
+    this->owner.has_servers = true;
+    this->owner.publish_fleet();
+}
+
+void traffic_controller::servers_reader::on_events(const watch_batch& batch)
+{
+    const absl::MutexLock lock{&this->owner.mutex};
+    const time_point now = this->owner.time.now();
+    auto& directory = this->owner.directory;
+    directory.on_contact(now);
+    const auto before = directory.entries();
+    for (const store_event& event : batch.events)
+    {
+        auto entry = event.what == store_event::change::removed
+                         ? std::nullopt
+                         : this->owner.decode_entry(event.object);
+        if (entry)
+        {
+            directory.put(*std::move(entry));
+        }
+        else
+        {
+            directory.remove(server_id{event.object.key.name}, now);
+        }
+    }
+    directory.expire(now);
+    this->owner.servers_version = batch.next;
+    if (directory.entries() != before)
+    {
+        this->owner.publish_fleet();
+    }
+}
+
+} // namespace fireflysail
--- a/source/store/backoff.cpp
+++ b/source/store/backoff.cpp
@@ -1,4 +1,4 @@
-#include "platform/backoff.hpp"
+#include "store/backoff.hpp"
 
 #include <algorithm>
 
--- a/source/store/budgeted_store.hpp
+++ b/source/store/budgeted_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/call_budget.hpp"
-#include "platform/store.hpp"
+#include "store/call_budget.hpp"
+#include "store/store.hpp"
 
 namespace fireflysail
 {
--- a/source/store/call_budget.cpp
+++ b/source/store/call_budget.cpp
@@ -1,4 +1,4 @@
-#include "platform/call_budget.hpp"
+#include "store/call_budget.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/source/store/call_watchdog.cpp
+++ b/source/store/call_watchdog.cpp
@@ -1,4 +1,4 @@
-#include "platform/call_watchdog.hpp"
+#include "store/call_watchdog.hpp"
 
 #include <absl/time/time.h>
 
--- a/source/store/claim_codec.cpp
+++ b/source/store/claim_codec.cpp
@@ -1,7 +1,7 @@
-#include "platform/claim_codec.hpp"
+#include "store/claim_codec.hpp"
 
 #include "common/hash.hpp"
-#include "platform/store_codec.hpp"
+#include "store/store_codec.hpp"
 
 #include <absl/strings/escaping.h>
 
--- a/source/store/claim_codec.hpp
+++ b/source/store/claim_codec.hpp
@@ -2,7 +2,7 @@
 
 #include "common/result.hpp"
 #include "ledger/ledger_entry.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <cstddef>
 #include <string>
--- a/source/store/claim_sweeper.cpp
+++ b/source/store/claim_sweeper.cpp
@@ -1,6 +1,6 @@
-#include "platform/claim_sweeper.hpp"
+#include "store/claim_sweeper.hpp"
 
-#include "platform/claim_codec.hpp"
+#include "store/claim_codec.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/source/store/claim_sweeper.hpp
+++ b/source/store/claim_sweeper.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ledger/retention.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- /dev/null
+++ b/source/store/http_channel.cpp
@@ -0,0 +1,156 @@
+#include "store/http_channel.hpp"
+
+#include "common/error.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <optional>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/// Largest answer that is read; a page of a list is about a megabyte.
+constexpr std::uint64_t most_answer_bytes = 16ULL * 1024 * 1024;
+
+/// Time within which the platform accepts a connection if it is there at all.
+constexpr std::chrono::milliseconds connect_time{1000};
+
+} // namespace
+
+struct http_channel::connection
+{
+    asio::io_context context{1};
+    beast::tcp_stream stream{context};
+    beast::flat_buffer buffer;
+
+    /// Runs what was started until its handler ran.
+    void run()
+    {
+        this->context.restart();
+        this->context.run();
+    }
+
+    template <class Start>
+    boost::system::error_code wait(duration limit, Start&& start)
+    {
+        boost::system::error_code outcome = asio::error::timed_out;
+        this->stream.expires_after(limit);
+        start(
+            [&outcome](boost::system::error_code error, auto&&...)
+            {
+                outcome = error;
+            });
+        this->run();
+        return outcome;
+    }
+};
+
+http_channel::http_channel(endpoint address)
+    : address{std::move(address)}
+{
+}
+
+http_channel::~http_channel() = default;
+
+result<channel_answer>
+http_channel::call(const channel_request& request, duration limit)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    const auto left = [deadline]
+    {
+        return deadline - std::chrono::steady_clock::now();
+    };
+    if (!this->current)
+    {
+        boost::system::error_code bad_address;
+        const auto ip = asio::ip::make_address(this->address.host, bad_address);
+        if (bad_address)
+        {
+            return errc::invalid_argument;
+        }
+        auto fresh = std::make_unique<connection>();
+        const asio::ip::tcp::endpoint there{
+            ip, static_cast<unsigned short>(this->address.port)};
+        const auto failed = fresh->wait(
+            std::min<duration>(connect_time, left()),
+            [&](auto handler)
+            {
+                fresh->stream.async_connect(there, std::move(handler));
+            });
+        if (failed)
+        {
+            return errc::unavailable;
+        }
+        boost::system::error_code refused;
+        if (fresh->stream.socket().set_option(
+                asio::ip::tcp::no_delay{true}, refused))
+        {
+            return errc::unavailable;
+        }
+        this->current = std::move(fresh);
+    }
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    message.set(
+        http::field::host,
+        fmt::format("{}:{}", this->address.host, this->address.port));
+    for (const auto& [name, value] : request.fields)
+    {
+        message.set(name, value);
+    }
+    if (!request.body.empty())
+    {
+        message.set(http::field::content_type, "application/json");
+        message.body() = request.body;
+    }
+    message.prepare_payload();
+    connection& used = *this->current;
+    const auto not_written = used.wait(
+        left(),
+        [&](auto handler)
+        {
+            http::async_write(used.stream, message, std::move(handler));
+        });
+    std::optional<http::response_parser<http::string_body>> parser{
+        std::in_place};
+    parser->body_limit(most_answer_bytes);
+    const auto not_read = not_written ? not_written
+                                      : used.wait(
+                                            left(),
+                                            [&](auto handler)
+                                            {
+                                                http::async_read(
+                                                    used.stream,
+                                                    used.buffer,
+                                                    *parser,
+                                                    std::move(handler));
+                                            });
+    if (not_read)
+    {
+        this->current.reset();
+        return errc::unknown_effect;
+    }
+    channel_answer answer{
+        parser->get().result_int(), std::move(parser->get().body())};
+    if (!parser->get().keep_alive() || used.buffer.size() > 0)
+    {
+        this->current.reset();
+    }
+    return answer;
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/store/http_channel.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "blackboard/fleet.hpp"
+#include "common/clock.hpp"
+#include "common/result.hpp"
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fireflysail
+{
+
+struct channel_request
+{
+    std::string method;
+    std::string target;
+    std::string body;
+    /// Further fields of the header.
+    std::vector<std::pair<std::string, std::string>> fields = {};
+};
+
+struct channel_answer
+{
+    unsigned status = 0;
+    std::string body;
+};
+
+/// One kept connection to an HTTP server, for calls that block the calling
+/// thread until their deadline at the latest. After any failure the next call
+/// opens a new connection. Used by one thread at a time.
+class http_channel
+{
+public:
+    explicit http_channel(endpoint address);
+    ~http_channel();
+
+    http_channel(const http_channel&) = delete;
+    http_channel& operator=(const http_channel&) = delete;
+
+    /// Errors: errc::unavailable when nothing was sent, else
+    /// errc::unknown_effect. `limit` bounds the whole call.
+    result<channel_answer> call(const channel_request& request, duration limit);
+
+private:
+    struct connection;
+
+    const endpoint address;
+    std::unique_ptr<connection> current;
+};
+
+} // namespace fireflysail
--- a/source/store/http_store.cpp
+++ b/source/store/http_store.cpp
@@ -1,7 +1,7 @@
-#include "platform/http_store.hpp"
+#include "store/http_store.hpp"
 
-#include "platform/call_watchdog.hpp"
-#include "platform/store_codec.hpp"
+#include "store/call_watchdog.hpp"
+#include "store/store_codec.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
--- a/source/store/store_claims.cpp
+++ b/source/store/store_claims.cpp
@@ -1,6 +1,6 @@
-#include "platform/store_claims.hpp"
+#include "store/store_claims.hpp"
 
-#include "platform/claim_codec.hpp"
+#include "store/claim_codec.hpp"
 
 #include <utility>
 
--- a/source/store/store_claims.hpp
+++ b/source/store/store_claims.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ledger/ledger_ports.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 namespace fireflysail
 {
--- a/source/store/store_watcher.cpp
+++ b/source/store/store_watcher.cpp
@@ -1,4 +1,4 @@
-#include "platform/store_watcher.hpp"
+#include "store/store_watcher.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/source/store/store_watcher.hpp
+++ b/source/store/store_watcher.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/backoff.hpp"
-#include "platform/store.hpp"
+#include "store/backoff.hpp"
+#include "store/store.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/source/store/watch_hub.cpp
+++ b/source/store/watch_hub.cpp
@@ -1,4 +1,4 @@
-#include "platform/watch_hub.hpp"
+#include "store/watch_hub.hpp"
 
 #include <absl/time/time.h>
 
--- a/source/store/watch_hub.hpp
+++ b/source/store/watch_hub.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store_watcher.hpp"
+#include "store/store_watcher.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
