--- /dev/null
+++ b/source/relay/backend_connection.cpp
@@ -0,0 +1,141 @@
+#include "relay/backend_connection.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+/// Largest header of an answer that is taken.
+constexpr std::uint32_t most_header_bytes = 65536;
+
+/// Largest read from the socket at once; bounds the buffer of a connection.
+constexpr std::size_t most_read_bytes = 16384;
+
+} // namespace
+
+backend_connection::backend_connection(
+    const asio::any_io_executor& executor, endpoint address)
+    : where{std::move(address)}
+    , socket{executor}
+    , buffer{most_header_bytes + most_read_bytes}
+{
+}
+
+const endpoint& backend_connection::address() const
+{
+    return this->where;
+}
+
+asio::awaitable<io_error> backend_connection::open(duration limit)
+{
+    io_error failed;
+    const auto ip = asio::ip::make_address(this->where.host, failed);
+    if (failed)
+    {
+        co_return failed;
+    }
+    asio::steady_timer timer{this->socket.get_executor()};
+    timer.expires_after(limit);
+    timer.async_wait(
+        [this](io_error error)
+        {
+            if (!error)
+            {
+                close_quietly(this->socket);
+            }
+        });
+    const auto [error] = co_await this->socket.async_connect(
+        {ip, static_cast<unsigned short>(this->where.port)}, as_result);
+    if (timer.cancel() == 0)
+    {
+        // The time was up: its handler has run or is about to.
+        co_await asio::post(this->socket.get_executor(), asio::use_awaitable);
+        co_return asio::error::timed_out;
+    }
+    if (!error)
+    {
+        io_error ignored;
+        ignore(this->socket.set_option(tcp::no_delay{true}, ignored));
+    }
+    co_return error;
+}
+
+void backend_connection::start_request(
+    const std::shared_ptr<const http_request>& request)
+{
+    this->parser.emplace();
+    this->parser->body_limit(boost::none);
+    this->parser->header_limit(most_header_bytes);
+    this->parser->skip(request->method() == http::verb::head);
+    this->written = std::make_shared<bool>(false);
+    http::async_write(
+        this->socket,
+        *request,
+        [request, done = this->written](io_error error, std::size_t)
+        {
+            *done = !error;
+        });
+}
+
+asio::awaitable<io_error> backend_connection::read_header()
+{
+    const auto [error, bytes] = co_await http::async_read_header(
+        this->socket, this->buffer, *this->parser, as_result);
+    this->broken = static_cast<bool>(error);
+    co_return error;
+}
+
+const http::response_header<>& backend_connection::header() const
+{
+    return this->parser->get().base();
+}
+
+asio::awaitable<backend_connection::body_part>
+backend_connection::read_body(std::span<char> into)
+{
+    body_part part;
+    if (this->parser->is_done())
+    {
+        part.is_last = true;
+        co_return part;
+    }
+    auto& body = this->parser->get().body();
+    body.data = into.data();
+    body.size = into.size();
+    body.more = true;
+    const auto [error, bytes] = co_await http::async_read_some(
+        this->socket, this->buffer, *this->parser, as_result);
+    part.bytes = into.size() - body.size;
+    part.is_last = this->parser->is_done();
+    if (error && error != http::error::need_buffer)
+    {
+        part.error = error;
+        this->broken = true;
+    }
+    co_return part;
+}
+
+void backend_connection::close()
+{
+    this->broken = true;
+    close_quietly(this->socket);
+}
+
+bool backend_connection::may_be_kept() const
+{
+    return !this->broken && this->parser && this->parser->is_done() &&
+           this->parser->keep_alive() && *this->written &&
+           this->buffer.size() == 0;
+}
+
+bool backend_connection::is_spoiled()
+{
+    return !this->socket.is_open() || has_pending_input(this->socket);
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/backend_connection.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "blackboard/fleet.hpp"
+#include "common/clock.hpp"
+#include "relay/io.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <span>
+
+namespace fireflysail
+{
+
+using http_request = http::request<http::string_body>;
+
+/// One connection to a backend server, with at most one request at a time.
+class backend_connection
+{
+public:
+    backend_connection(const asio::any_io_executor& executor, endpoint address);
+
+    const endpoint& address() const;
+
+    asio::awaitable<io_error> open(duration limit);
+
+    /// Sends while the answer may be read already: a server may answer before
+    /// it has read a long body.
+    void start_request(const std::shared_ptr<const http_request>& request);
+
+    asio::awaitable<io_error> read_header();
+
+    /// Valid after read_header().
+    const http::response_header<>& header() const;
+
+    struct body_part
+    {
+        std::size_t bytes = 0;
+        io_error error;
+        /// The whole answer was read, as its framing says.
+        bool is_last = false;
+    };
+
+    /// Reads some of the body. Ends without error at the end of an answer
+    /// that is framed by the end of its connection.
+    asio::awaitable<body_part> read_body(std::span<char> into);
+
+    /// Ends everything in progress with an error.
+    void close();
+
+    /// True when the last answer was whole, nothing came after it, and both
+    /// sides let the connection live on.
+    bool may_be_kept() const;
+
+    /// True when an idle connection was closed or got unasked bytes.
+    bool is_spoiled();
+
+    time_point last_heard{};
+    std::optional<duration> idle_limit;
+
+private:
+    using parser_type = http::response_parser<http::buffer_body>;
+
+    const endpoint where;
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+    std::optional<parser_type> parser;
+    /// Shared with the write in progress.
+    std::shared_ptr<bool> written;
+    bool broken = false;
+};
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/caller_session.cpp
@@ -0,0 +1,328 @@
+#include "relay/caller_session.hpp"
+
+#include "common/log.hpp"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Time for the body of a request, beyond that for its header.
+constexpr duration body_time = 10s;
+
+/// Callers without a limit of their own wait as long as the route allows.
+constexpr duration longest_request = 10min;
+
+std::string lower_host(std::string_view host)
+{
+    const auto colon = host.rfind(':');
+    return absl::AsciiStrToLower(absl::string_view{
+        host.data(), colon == std::string_view::npos ? host.size() : colon});
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+service_id draw_service(const route& matched, std::mt19937_64& random)
+{
+    const auto& services = matched.services;
+    const auto total = std::accumulate(
+        services.begin(),
+        services.end(),
+        std::uint64_t{0},
+        [](std::uint64_t sum, const weighted_service& entry)
+        {
+            return sum + entry.weight;
+        });
+    if (total == 0)
+    {
+        return services.front().service;
+    }
+    std::uint64_t drawn =
+        std::uniform_int_distribution<std::uint64_t>{0, total - 1}(random);
+    for (const weighted_service& entry : services)
+    {
+        if (drawn < entry.weight)
+        {
+            return entry.service;
+        }
+        drawn -= entry.weight;
+    }
+    return services.back().service;
+}
+
+own_answer rejection_of(const io_error& error)
+{
+    if (error == http::error::header_limit)
+    {
+        return own_answer::header_too_large;
+    }
+    if (error == http::error::body_limit)
+    {
+        return own_answer::body_too_large;
+    }
+    return own_answer::bad_request;
+}
+
+/// Errors of the connection, as opposed to what was read from it.
+bool is_disconnect(const io_error& error)
+{
+    return error.category() !=
+               http::make_error_code(http::error::bad_method).category() ||
+           error == http::error::end_of_stream ||
+           error == http::error::partial_message;
+}
+
+} // namespace
+
+caller_session::caller_session(relay_context& relay, tcp::socket accepted)
+    : relay{relay}
+    , caller{std::move(accepted)}
+    , patience{
+          relay.executor,
+          relay.time,
+          [this]
+          {
+              this->caller.close();
+          }}
+{
+    io_error ignored;
+    ignore(this->caller.socket.set_option(tcp::no_delay{true}, ignored));
+    ++relay.open_connections;
+}
+
+caller_session::~caller_session()
+{
+    --this->relay.open_connections;
+}
+
+asio::awaitable<void> caller_session::run()
+{
+    while (true)
+    {
+        exchange next{this->relay, this->caller};
+        this->is_idle = true;
+        const read_end got = co_await this->read_request(next);
+        this->is_idle = false;
+        if (got == read_end::closed)
+        {
+            break;
+        }
+        if (got == read_end::request)
+        {
+            ++this->relay.active_requests;
+            co_await this->serve(next);
+            --this->relay.active_requests;
+        }
+        if (got == read_end::rejected || next.must_close ||
+            this->caller.has_left() || this->relay.draining)
+        {
+            break;
+        }
+    }
+    io_error ignored;
+    ignore(this->caller.socket.shutdown(tcp::socket::shutdown_send, ignored));
+    this->caller.close();
+}
+
+void caller_session::close_if_idle()
+{
+    if (this->is_idle)
+    {
+        this->caller.close();
+    }
+}
+
+asio::awaitable<caller_session::read_end>
+caller_session::read_request(exchange& next)
+{
+    const auto config = this->relay.board.traffic.load();
+    const caller_limits limits = config ? config->limits : caller_limits{};
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header.value()));
+    parser.body_limit(limits.body.value());
+    const auto now = this->relay.time.now();
+    if (this->caller.buffer.size() == 0)
+    {
+        this->patience.set(now + limits.idle_time);
+        const auto [error] = co_await this->caller.socket.async_wait(
+            tcp::socket::wait_read, as_result);
+        if (error)
+        {
+            co_return read_end::closed;
+        }
+        this->is_idle = false;
+    }
+    this->patience.set(this->relay.time.now() + limits.header_time);
+    auto [error, bytes] = co_await http::async_read_header(
+        this->caller.socket, this->caller.buffer, parser, as_result);
+    next.received_at = this->relay.time.now();
+    if (!error)
+    {
+        this->patience.set(this->relay.time.now() + body_time);
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+        {
+            http::response<http::empty_body> go_on{http::status::continue_, 11};
+            co_await http::async_write(this->caller.socket, go_on, as_result);
+        }
+        std::tie(error, bytes) = co_await http::async_read(
+            this->caller.socket, this->caller.buffer, parser, as_result);
+    }
+    this->patience.clear();
+    if (error)
+    {
+        if (is_disconnect(error))
+        {
+            co_return read_end::closed;
+        }
+        next.must_close = true;
+        next.facts = this->relay.codec.read_request(parser.get());
+        this->relay.metrics.count(request_event::malformed_request);
+        const own_answer why = rejection_of(error);
+        log::event(
+            log::level::warning,
+            log::channel::api,
+            "request_rejected",
+            {{"request", next.facts.attempt.str()},
+             {"reason", name_of(why)},
+             {"error", error.message()}});
+        co_await answer_ourselves(next, why);
+        co_return read_end::rejected;
+    }
+    next.must_close = !parser.keep_alive();
+    next.request = parser.release();
+    next.facts = this->relay.codec.read_request(next.request);
+    co_return read_end::request;
+}
+
+std::optional<own_answer> caller_session::admit(exchange& next)
+{
+    next.config = this->relay.board.traffic.load();
+    if (!next.config)
+    {
+        return own_answer::not_configured;
+    }
+    const auto host = next.request[http::field::host];
+    const auto target = next.request.target();
+    next.matched = find_route(
+        *next.config,
+        lower_host({host.data(), host.size()}),
+        path_of({target.data(), target.size()}));
+    if (next.matched == nullptr)
+    {
+        return own_answer::no_route;
+    }
+    if (next.config->has_workspaces && next.matched->needs_key)
+    {
+        const auto holder = next.config->keys.find(next.facts.key);
+        if (holder == next.config->keys.end())
+        {
+            this->relay.metrics.count(request_event::unauthenticated);
+            return own_answer::unknown_key;
+        }
+        next.workspace = holder->second.workspace;
+        next.rank = holder->second.rank;
+    }
+    next.service = draw_service(*next.matched, this->relay.random);
+    return std::nullopt;
+}
+
+asio::awaitable<void> caller_session::serve(exchange& next)
+{
+    const auto refusal = this->admit(next);
+    duration limit = next.facts.time_limit.value_or(longest_request);
+    if (next.matched != nullptr && next.matched->timeout > duration::zero())
+    {
+        limit = std::min(limit, next.matched->timeout);
+    }
+    next.deadline = next.received_at + limit;
+    if (refusal)
+    {
+        co_await answer_ourselves(next, *refusal);
+        this->log_end(next);
+        co_return;
+    }
+    const auto end_attempt = [&next]
+    {
+        if (next.current != nullptr)
+        {
+            next.current->close();
+        }
+    };
+    this->caller.watch(end_attempt);
+    io_deadline limit_timer{
+        this->relay.executor,
+        this->relay.time,
+        [&next, end_attempt]
+        {
+            next.expired = true;
+            end_attempt();
+        }};
+    limit_timer.set(next.deadline);
+    if (next.matched->kind == route_kind::stream)
+    {
+        co_await serve_stream(next);
+    }
+    else
+    {
+        co_await serve_plain(next);
+    }
+    this->caller.unwatch();
+    this->log_end(next);
+}
+
+void caller_session::log_end(const exchange& served) const
+{
+    const auto now = this->relay.time.now();
+    const auto milliseconds = [](duration time)
+    {
+        return std::chrono::duration<double, std::milli>{time}.count();
+    };
+    const bool good = served.last_status >= 200 && served.last_status < 300 &&
+                      !served.must_close;
+    log::event(
+        good ? log::level::info : log::level::warning,
+        log::channel::api,
+        "request_ended",
+        {{"request", served.facts.attempt.str()},
+         {"route", served.matched == nullptr ? "" : served.matched->name},
+         {"workspace", served.workspace.str()},
+         {"status", served.last_status},
+         {"attempts", served.attempts},
+         {"server", served.last_server.str()},
+         {"caller_left", this->caller.has_left()},
+         {"expired", served.expired},
+         {"first_event_ms",
+          served.first_event_after ? milliseconds(*served.first_event_after)
+                                   : -1.0},
+         {"total_ms", milliseconds(now - served.received_at)},
+         {"config_version", served.config ? served.config->version : 0}});
+    if (served.first_event_after)
+    {
+        this->relay.metrics.observe(
+            served.workspace,
+            request_class::standard,
+            request_time::first_token,
+            *served.first_event_after);
+    }
+    this->relay.metrics.observe(
+        served.workspace,
+        request_class::standard,
+        request_time::total,
+        now - served.received_at);
+    this->relay.metrics.count(
+        good ? request_event::completed : request_event::failed);
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/caller_session.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "relay/exchange.hpp"
+
+#include <memory>
+
+namespace fireflysail
+{
+
+/// Serves the requests of one caller's connection, one after the other, until
+/// either side ends it.
+class caller_session
+{
+public:
+    caller_session(relay_context& relay, tcp::socket accepted);
+    ~caller_session();
+
+    caller_session(const caller_session&) = delete;
+    caller_session& operator=(const caller_session&) = delete;
+
+    asio::awaitable<void> run();
+
+    /// Ends the connection if no request is being read or served.
+    void close_if_idle();
+
+private:
+    enum class read_end
+    {
+        request,
+        /// Not a request, or too large: answered, and the connection ends.
+        rejected,
+        closed,
+    };
+
+    asio::awaitable<read_end> read_request(exchange& next);
+    asio::awaitable<void> serve(exchange& next);
+    std::optional<own_answer> admit(exchange& next);
+    void log_end(const exchange& served) const;
+
+    relay_context& relay;
+    caller_connection caller;
+    io_deadline patience;
+    bool is_idle = true;
+};
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/exchange.cpp
@@ -0,0 +1,212 @@
+#include "relay/exchange.hpp"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A server in the same region accepts a connection well within this time;
+/// one that does not is down or cut off.
+constexpr duration connect_limit = 400ms;
+
+/// Advice to callers when nothing can run their request: about the time in
+/// which lost layers are loaded elsewhere.
+constexpr duration retry_after_outage = 1s;
+
+/// Advice to callers whose request found no room.
+constexpr duration retry_after_overload = 500ms;
+
+/// Advice while the instance reads its first configuration.
+constexpr duration retry_after_start = 500ms;
+
+constexpr std::array<std::string_view, 9> connection_fields{
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade"};
+
+unsigned status_of(own_answer why)
+{
+    switch (why)
+    {
+    case own_answer::bad_request:
+        return 400;
+    case own_answer::header_too_large:
+        return 431;
+    case own_answer::body_too_large:
+        return 413;
+    case own_answer::no_route:
+        return 404;
+    case own_answer::unknown_key:
+        return 401;
+    case own_answer::not_configured:
+    case own_answer::no_backend_server:
+    case own_answer::overloaded:
+    case own_answer::timed_out_unsent:
+        return 503;
+    case own_answer::unknown_outcome:
+        return 502;
+    case own_answer::timed_out:
+        return 504;
+    }
+    return 500;
+}
+
+std::optional<duration> advice_of(own_answer why)
+{
+    switch (why)
+    {
+    case own_answer::not_configured:
+        return retry_after_start;
+    case own_answer::no_backend_server:
+        return retry_after_outage;
+    case own_answer::overloaded:
+        return retry_after_overload;
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+exchange::exchange(relay_context& relay, caller_connection& caller)
+    : relay{relay}
+    , caller{caller}
+{
+}
+
+duration exchange::time_left() const
+{
+    return this->deadline - this->relay.time.now();
+}
+
+bool exchange::is_over() const
+{
+    return this->expired || this->caller.has_left();
+}
+
+std::string_view name_of(own_answer why)
+{
+    switch (why)
+    {
+    case own_answer::bad_request:
+        return "bad_request";
+    case own_answer::header_too_large:
+        return "header_too_large";
+    case own_answer::body_too_large:
+        return "body_too_large";
+    case own_answer::no_route:
+        return "no_route";
+    case own_answer::unknown_key:
+        return "unknown_key";
+    case own_answer::not_configured:
+        return "not_configured";
+    case own_answer::no_backend_server:
+        return "no_backend_server";
+    case own_answer::overloaded:
+        return "overloaded";
+    case own_answer::unknown_outcome:
+        return "unknown_outcome";
+    case own_answer::timed_out:
+        return "timed_out";
+    case own_answer::timed_out_unsent:
+        return "timed_out_unsent";
+    }
+    return "unknown";
+}
+
+asio::awaitable<void> answer_ourselves(exchange& served, own_answer why)
+{
+    served.last_status = status_of(why);
+    if (served.caller.has_left())
+    {
+        co_return;
+    }
+    http_response answer{http::int_to_status(status_of(why)), 11};
+    served.relay.codec.write_own_answer(
+        answer, served.facts.attempt, advice_of(why));
+    answer.set(http::field::content_type, "text/plain");
+    answer.body() = std::string{name_of(why)} + "\n";
+    answer.keep_alive(!served.must_close && !served.relay.draining);
+    answer.prepare_payload();
+    const io_error failed = co_await served.caller.write(answer);
+    if (failed)
+    {
+        served.must_close = true;
+    }
+}
+
+std::shared_ptr<const http_request>
+make_dispatch(const exchange& served, const dispatch_facts& facts)
+{
+    auto outgoing = std::make_shared<http_request>(served.request);
+    remove_connection_fields(*outgoing);
+    outgoing->erase(http::field::expect);
+    served.relay.codec.write_dispatch(*outgoing, facts);
+    outgoing->version(11);
+    const bool had_body = !served.request.body().empty() ||
+                          served.request.has_content_length() ||
+                          served.request.chunked();
+    if (had_body)
+    {
+        outgoing->content_length(outgoing->body().size());
+    }
+    return outgoing;
+}
+
+void remove_connection_fields(http_fields& header)
+{
+    std::vector<std::string> named;
+    const auto [first, last] = header.equal_range("Connection");
+    std::for_each(
+        first,
+        last,
+        [&named](const auto& field)
+        {
+            const absl::string_view value{
+                field.value().data(), field.value().size()};
+            for (const auto token : absl::StrSplit(value, ','))
+            {
+                named.emplace_back(absl::StripAsciiWhitespace(token));
+            }
+        });
+    for (const std::string& name : named)
+    {
+        header.erase(name);
+    }
+    for (const std::string_view name : connection_fields)
+    {
+        header.erase({name.data(), name.size()});
+    }
+}
+
+asio::awaitable<bool> ensure_open(exchange& served, backend_pool::taken& taken)
+{
+    if (taken.is_open)
+    {
+        co_return true;
+    }
+    served.current = taken.connection.get();
+    const io_error failed = co_await taken.connection->open(
+        std::min(connect_limit, std::max(served.time_left(), 1ns * 0)));
+    served.current = nullptr;
+    auto& counts = served.relay.pool.counts;
+    ++(failed ? counts.failed : counts.opened);
+    co_return !failed && !served.is_over();
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/exchange.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "blackboard/traffic_config.hpp"
+#include "common/clock.hpp"
+#include "relay/caller_connection.hpp"
+#include "relay/message_codec.hpp"
+#include "relay/relay_context.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// Why an answer of our own was sent in place of a backend server's.
+enum class own_answer
+{
+    bad_request,
+    header_too_large,
+    body_too_large,
+    no_route,
+    unknown_key,
+    /// No configuration is known yet.
+    not_configured,
+    /// No backend server can run it now.
+    no_backend_server,
+    /// Every backend server that was asked had no room.
+    overloaded,
+    /// It was sent, and whether it ran is not known.
+    unknown_outcome,
+    /// Its time was up after it was sent.
+    timed_out,
+    /// Its time was up before it was sent.
+    timed_out_unsent,
+};
+
+/// One request of a caller, from its header to the end of its answer.
+struct exchange
+{
+    exchange(relay_context& relay, caller_connection& caller);
+
+    relay_context& relay;
+    caller_connection& caller;
+    http_request request;
+    request_facts facts;
+    std::shared_ptr<const traffic_config> config;
+    const route* matched = nullptr;
+    /// Drawn by weight among the services of the route.
+    service_id service;
+    workspace_id workspace;
+    std::optional<std::uint32_t> rank;
+    time_point received_at;
+    /// When the caller or the route stops waiting, whichever is sooner.
+    time_point deadline;
+    /// Attempts whose request went out to a backend server.
+    std::uint32_t attempts = 0;
+    /// The connection in use; closed to end the attempt early.
+    backend_connection* current = nullptr;
+    bool expired = false;
+    /// The connection to the caller cannot carry another request.
+    bool must_close = false;
+    /// For the log: the last server and status.
+    server_id last_server;
+    unsigned last_status = 0;
+    std::optional<duration> first_event_after;
+
+    duration time_left() const;
+
+    /// The caller left or the time is up.
+    bool is_over() const;
+};
+
+/// Serves a request to a plain service.
+asio::awaitable<void> serve_plain(exchange& served);
+
+/// Serves a stream of a model engine.
+asio::awaitable<void> serve_stream(exchange& served);
+
+/// Sends an answer of our own.
+asio::awaitable<void> answer_ourselves(exchange& served, own_answer why);
+
+/// Header and body of a backend server's request for this exchange.
+std::shared_ptr<const http_request>
+make_dispatch(const exchange& served, const dispatch_facts& facts);
+
+/// Removes the fields that concern only one connection.
+void remove_connection_fields(http_fields& header);
+
+/// Opens the connection unless it is open already. False when no connection
+/// could be made: nothing was sent.
+asio::awaitable<bool> ensure_open(exchange& served, backend_pool::taken& taken);
+
+std::string_view name_of(own_answer why);
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/io.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "common/clock.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace fireflysail
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+using tcp = asio::ip::tcp;
+using io_error = boost::system::error_code;
+
+/// Awaits an operation and yields its error and result as a tuple.
+inline constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Calls back once a moment has passed, unless it was moved or cleared before.
+/// Moving it later costs nothing, so that each event of a stream may do so.
+class io_deadline
+{
+public:
+    io_deadline(
+        const asio::any_io_executor& executor,
+        const clock& time,
+        std::function<void()> on_expiry);
+    ~io_deadline();
+
+    io_deadline(const io_deadline&) = delete;
+    io_deadline& operator=(const io_deadline&) = delete;
+
+    void set(time_point when);
+    void clear();
+
+private:
+    struct state;
+
+    static void wait(const std::shared_ptr<state>& shared);
+
+    std::shared_ptr<state> shared;
+};
+
+/// Waits for `time`, or less when the timer is cancelled.
+asio::awaitable<void> pause_for(asio::steady_timer& timer, duration time);
+
+/// Takes the error of an operation whose failure changes nothing: what comes
+/// next on the same socket reports it.
+inline void ignore(const io_error&) {}
+
+/// Closes without an error that anybody could act on.
+void close_quietly(tcp::socket& socket);
+
+/// True when the other side has closed the connection or sent bytes that
+/// nobody asked for.
+bool has_pending_input(tcp::socket& socket);
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/plain_exchange.cpp
@@ -0,0 +1,230 @@
+#include "relay/exchange.hpp"
+
+#include "common/log.hpp"
+
+#include <array>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+/// Largest answer of a plain service that is kept until it is whole.
+constexpr std::size_t most_answer_bytes = std::size_t{8} * 1024 * 1024;
+
+/// Servers tried without a request having gone out.
+constexpr std::uint32_t most_unsent = 4;
+
+enum class attempt_end
+{
+    /// The whole answer is there.
+    answered,
+    /// The server states that nothing ran.
+    refused,
+    /// No connection; nothing was sent.
+    unsent,
+    /// Sent, without a whole answer that proves to be the server's.
+    broken,
+};
+
+struct attempt_result
+{
+    attempt_end end = attempt_end::broken;
+    http_response answer;
+    answer_facts facts;
+};
+
+bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Reads the whole body; false when it broke off or is too large.
+asio::awaitable<bool>
+read_whole_body(backend_connection& connection, std::string& body)
+{
+    std::array<char, 8192> part{};
+    while (true)
+    {
+        const auto read = co_await connection.read_body(part);
+        body.append(part.data(), read.bytes);
+        if (read.error || body.size() > most_answer_bytes)
+        {
+            co_return false;
+        }
+        if (read.is_last)
+        {
+            co_return true;
+        }
+    }
+}
+
+asio::awaitable<attempt_result>
+read_answer(exchange& served, backend_connection& connection)
+{
+    attempt_result result;
+    const io_error failed = co_await connection.read_header();
+    if (failed)
+    {
+        co_return result;
+    }
+    const auto& header = connection.header();
+    result.facts = served.relay.codec.read_answer(header.result_int(), header);
+    result.answer.base() = header;
+    const bool whole =
+        co_await read_whole_body(connection, result.answer.body());
+    // An answer to an earlier request may turn up where ours is due.
+    const bool is_ours = result.facts.attempt == served.facts.attempt;
+    if (!whole || !is_ours)
+    {
+        co_return result;
+    }
+    if (result.facts.not_run)
+    {
+        result.end = attempt_end::refused;
+    }
+    else if (result.facts.stamped)
+    {
+        result.end = attempt_end::answered;
+    }
+    co_return result;
+}
+
+asio::awaitable<attempt_result>
+attempt_once(exchange& served, const service_server& server, work_kind work)
+{
+    relay_context& relay = served.relay;
+    attempt_result result;
+    auto taken = relay.pool.take(server.address, work);
+    const bool is_open = co_await ensure_open(served, taken);
+    if (!is_open)
+    {
+        result.end = attempt_end::unsent;
+        co_return result;
+    }
+    dispatch_facts facts;
+    facts.time_left = served.time_left();
+    facts.server = server.id;
+    facts.workspace = served.workspace;
+    ++served.attempts;
+    served.last_server = server.id;
+    relay.servers.on_sent(server.id);
+    const time_point sent_at = relay.time.now();
+    served.current = taken.connection.get();
+    taken.connection->start_request(make_dispatch(served, facts));
+    result = co_await read_answer(served, *taken.connection);
+    served.current = nullptr;
+    const time_point now = relay.time.now();
+    taken.connection->last_heard = now;
+    taken.connection->idle_limit = result.facts.keep_alive;
+    if (result.facts.load)
+    {
+        relay.servers.on_load(
+            server.id,
+            result.facts.load->running,
+            result.facts.load->waiting,
+            now);
+    }
+    const auto outcome =
+        result.end == attempt_end::answered  ? server_outcome::answered
+        : result.end == attempt_end::refused ? server_outcome::refused
+                                             : server_outcome::failed;
+    relay.servers.on_ended(server.id, outcome, now - sent_at, now);
+    if (result.end != attempt_end::broken)
+    {
+        relay.pool.give_back(std::move(taken.connection));
+    }
+    co_return result;
+}
+
+asio::awaitable<void> deliver(exchange& served, http_response& answer)
+{
+    remove_connection_fields(answer);
+    answer.version(11);
+    answer.keep_alive(!served.must_close && !served.relay.draining);
+    answer.prepare_payload();
+    served.last_status = answer.result_int();
+    const io_error failed = co_await served.caller.write(answer);
+    if (failed)
+    {
+        served.must_close = true;
+    }
+}
+
+/// Whether another server may be asked after this end.
+bool may_repeat(attempt_end end, work_kind work)
+{
+    const bool nothing_ran =
+        end == attempt_end::unsent || end == attempt_end::refused;
+    return nothing_ran || work == work_kind::idempotent;
+}
+
+} // namespace
+
+asio::awaitable<void> serve_plain(exchange& served)
+{
+    relay_context& relay = served.relay;
+    const work_kind work = served.matched->kind == route_kind::idempotent
+                               ? work_kind::idempotent
+                               : work_kind::non_idempotent;
+    retry_budget& budget = budget_of(relay, served.service);
+    std::vector<server_id> excluded;
+    std::uint32_t unsent = 0;
+    bool refused = false;
+    bool may_have_run = false;
+    while (!served.is_over())
+    {
+        const auto fleet = relay.board.fleet.load();
+        const service_server* server = relay.servers.choose(
+            *fleet,
+            served.service,
+            relay.node.zone,
+            excluded,
+            relay.time.now(),
+            relay.random);
+        const bool is_repeat = served.attempts > 0;
+        if (server == nullptr ||
+            served.attempts >= served.matched->most_attempts ||
+            unsent >= most_unsent ||
+            (is_repeat && !budget.try_take(relay.time.now())))
+        {
+            break;
+        }
+        auto result = co_await attempt_once(served, *server, work);
+        if (result.end == attempt_end::answered)
+        {
+            if (is_success(result.answer.result_int()))
+            {
+                budget.on_success(relay.time.now());
+            }
+            co_await deliver(served, result.answer);
+            co_return;
+        }
+        excluded.push_back(server->id);
+        unsent += result.end == attempt_end::unsent ? 1 : 0;
+        refused = refused || result.end == attempt_end::refused;
+        may_have_run = may_have_run || result.end == attempt_end::broken;
+        if (!may_repeat(result.end, work))
+        {
+            break;
+        }
+    }
+    const bool promise = !may_have_run;
+    if (served.expired)
+    {
+        co_await answer_ourselves(
+            served,
+            promise && served.attempts == 0 ? own_answer::timed_out_unsent
+                                            : own_answer::timed_out);
+        co_return;
+    }
+    co_await answer_ourselves(
+        served,
+        !promise  ? own_answer::unknown_outcome
+        : refused ? own_answer::overloaded
+                  : own_answer::no_backend_server);
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/relay_context.cpp
@@ -0,0 +1,37 @@
+#include "relay/relay_context.hpp"
+
+namespace fireflysail
+{
+
+namespace
+{
+
+/// Instances among which the fleet's retries are divided. The number that run
+/// is not known, so it is taken from above.
+constexpr double assumed_instances = 16;
+
+} // namespace
+
+retry_budget& budget_of(relay_context& relay, const service_id& service)
+{
+    const auto found = relay.retry_budgets.find(service);
+    if (found != relay.retry_budgets.end())
+    {
+        return found->second;
+    }
+    const service_bounds& bounds = relay.node.bounds;
+    const double slack = bounds.retry_slack / assumed_instances;
+    const double window =
+        std::chrono::duration<double>{bounds.retry_window}.count();
+    retry_budget::options chosen;
+    chosen.share_of_successes = bounds.retry_share / 2;
+    // A full bucket and its refill within one window stay within the slack.
+    chosen.refill_per_second = slack / 2 / window;
+    chosen.most = slack / 2;
+    chosen.at_start = slack / 2;
+    return relay.retry_budgets
+        .emplace(service, retry_budget{chosen, relay.time.now()})
+        .first->second;
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/relay_context.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "blackboard/blackboard.hpp"
+#include "common/clock.hpp"
+#include "metrics/request_metrics.hpp"
+#include "relay/backend_pool.hpp"
+#include "relay/message_codec.hpp"
+#include "routing/retry_budget.hpp"
+#include "routing/server_balancer.hpp"
+#include "serving/pipeline_router.hpp"
+#include "settings/node_settings.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <random>
+
+namespace fireflysail
+{
+
+/// What all requests of the traffic thread share.
+struct relay_context
+{
+    asio::any_io_executor executor;
+    const clock& time;
+    const node_settings& node;
+    blackboard& board;
+    const message_codec& codec;
+    pipeline_router& pipelines;
+    server_balancer& servers;
+    backend_pool& pool;
+    request_metrics& metrics;
+    std::mt19937_64& random;
+    /// Budget of each service for sending a request once more.
+    absl::flat_hash_map<service_id, retry_budget> retry_budgets;
+    /// Set once the instance stops: answers end their connections.
+    bool draining = false;
+    /// Requests being served.
+    std::size_t active_requests = 0;
+    std::size_t open_connections = 0;
+};
+
+/// Budget of the service; made when it is first asked for.
+retry_budget& budget_of(relay_context& relay, const service_id& service);
+
+} // namespace fireflysail
