--- a/source/main/command_line.cpp
+++ b/source/main/command_line.cpp
@@ -30,6 +30,7 @@
     "fireflysail: router for pipelines over mixed accelerators\n"
     "\n"
     "  fireflysail serve --settings FILE\n"
+    "  fireflysail relay [--node-file FILE]\n"
     "  fireflysail check-settings FILE\n"
     "  fireflysail plan get|list|set|delete [WORKSPACE]\n"
     "  fireflysail entitlement get|list|set|delete [PLAN]\n"
@@ -224,6 +225,43 @@
     std::optional<std::string> help;
 };
 
+log::level read_level(const cxxopts::ParseResult& arguments)
+{
+    constexpr std::array<std::string_view, 4> levels{
+        "debug", "info", "warning", "error"};
+    const auto level = arguments["log-level"].as<std::string>();
+    const auto found = std::ranges::find(levels, level);
+    if (found == levels.end())
+    {
+        throw argument_error{fmt::format(
+            "--log-level {}: must be debug, info, warning or error", level)};
+    }
+    return static_cast<log::level>(std::distance(levels.begin(), found));
+}
+
+command parse_relay(const words& given)
+{
+    auto options =
+        make_options("relay", "Runs an instance on the users' platform");
+    auto add = options.add_options();
+    add("node-file",
+        "Node file; else the one that the environment names",
+        cxxopts::value<std::string>()->default_value(""),
+        "FILE");
+    add("log-level",
+        "debug, info, warning or error",
+        cxxopts::value<std::string>()->default_value("info"));
+    const parsed_command parsed{options, given};
+    if (parsed.help)
+    {
+        return help_command{*parsed.help};
+    }
+    expect_words(parsed.rest, 0, "");
+    return relay_command{
+        parsed.arguments["node-file"].as<std::string>(),
+        read_level(parsed.arguments)};
+}
+
 command parse_serve(const words& given)
 {
     auto options = make_options("serve", "Runs an instance");
@@ -245,15 +283,6 @@
     {
         throw argument_error{"--settings is missing"};
     }
-    constexpr std::array<std::string_view, 4> levels{
-        "debug", "info", "warning", "error"};
-    const auto level = parsed.arguments["log-level"].as<std::string>();
-    const auto found = std::ranges::find(levels, level);
-    if (found == levels.end())
-    {
-        throw argument_error{fmt::format(
-            "--log-level {}: must be debug, info, warning or error", level)};
-    }
     const auto format = parsed.arguments["log-format"].as<std::string>();
     if (format != "text" && format != "json")
     {
@@ -262,7 +291,7 @@
     }
     return serve_command{
         parsed.arguments["settings"].as<std::string>(),
-        static_cast<log::level>(std::distance(levels.begin(), found)),
+        read_level(parsed.arguments),
         format == "json" ? log::format::json : log::format::text};
 }
 
@@ -388,6 +417,10 @@
     {
         return parse_serve(rest);
     }
+    if (name == "relay")
+    {
+        return parse_relay(rest);
+    }
     if (name == "check-settings")
     {
         return parse_check_settings(rest);
--- a/source/main/command_line.hpp
+++ b/source/main/command_line.hpp
@@ -32,6 +32,14 @@
     log::format format = log::format::text;
 };
 
+/// Serves on the users' platform.
+struct relay_command
+{
+    /// Empty: the path that the environment names.
+    std::string node_file;
+    log::level lowest = log::level::info;
+};
+
 struct check_settings_command
 {
     std::string settings_file;
@@ -72,6 +80,7 @@
 
 using command = std::variant<
     serve_command,
+    relay_command,
     check_settings_command,
     version_command,
     help_command,
--- a/source/main/instance_parts.hpp
+++ b/source/main/instance_parts.hpp
@@ -26,13 +26,13 @@
 #include "metrics/request_metrics.hpp"
 #include "peer/rpc_client.hpp"
 #include "peer/rpc_server.hpp"
-#include "platform/budgeted_store.hpp"
-#include "platform/claim_sweeper.hpp"
-#include "platform/http_store.hpp"
-#include "platform/store_claims.hpp"
-#include "platform/watch_hub.hpp"
 #include "serving/completion_service.hpp"
 #include "serving/service_runner.hpp"
+#include "store/budgeted_store.hpp"
+#include "store/claim_sweeper.hpp"
+#include "store/http_store.hpp"
+#include "store/store_claims.hpp"
+#include "store/watch_hub.hpp"
 
 #include <atomic>
 #include <memory>
--- a/source/main/main.cpp
+++ b/source/main/main.cpp
@@ -1,5 +1,6 @@
 #include "main/admin_client.hpp"
 #include "main/command_line.hpp"
+#include "main/relay_command.hpp"
 #include "main/serve.hpp"
 
 #include <fmt/format.h>
@@ -21,6 +22,11 @@
         return serve(wanted);
     }
 
+    exit_code operator()(const relay_command& wanted) const
+    {
+        return run_relay(wanted);
+    }
+
     exit_code operator()(const check_settings_command& wanted) const
     {
         return check_settings(wanted);
--- /dev/null
+++ b/source/main/relay_command.cpp
@@ -0,0 +1,80 @@
+#include "main/relay_command.hpp"
+
+#include "common/log.hpp"
+#include "main/relay_process.hpp"
+#include "platform/config_codec.hpp"
+#include "platform/engine_client.hpp"
+#include "platform/header_codec.hpp"
+#include "platform/names.hpp"
+#include "platform/node_file.hpp"
+#include "platform/object_store.hpp"
+#include "platform/server_codec.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <variant>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+void report(const std::vector<settings_mistake>& mistakes)
+{
+    for (const auto& mistake : mistakes)
+    {
+        fmt::print(stderr, "{}: {}\n", mistake.path, mistake.reason);
+    }
+}
+
+traffic_objects platform_objects()
+{
+    return {
+        std::string{platform::names::config_kind},
+        std::string{platform::names::config_name},
+        std::string{platform::names::servers_kind},
+        platform::decode_config,
+        platform::decode_server};
+}
+
+} // namespace
+
+exit_code run_relay(const relay_command& wanted)
+{
+    const std::string path = wanted.node_file.empty()
+                                 ? platform::node_file_path()
+                                 : wanted.node_file;
+    auto loaded = platform::load_node_file(path);
+    if (const auto* mistakes =
+            std::get_if<std::vector<settings_mistake>>(&loaded))
+    {
+        report(*mistakes);
+        return exit_code::usage;
+    }
+    log::configure(wanted.lowest, log::format::json);
+    log::start_background_output();
+    const auto& node = std::get<node_settings>(loaded);
+    const boot_clock time;
+    platform::object_store objects{node.store, time};
+    platform::engine_client engines;
+    const platform::header_codec codec;
+    relay_process process{
+        node,
+        {objects,
+         engines,
+         codec,
+         platform_objects(),
+         [path]() -> std::optional<node_settings>
+         {
+             auto again = platform::load_node_file(path);
+             const auto* read = std::get_if<node_settings>(&again);
+             return read == nullptr ? std::nullopt : std::optional{*read};
+         }}};
+    const bool served = process.run();
+    log::stop_background_output();
+    return served ? exit_code::ok : exit_code::failure;
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/main/relay_process.cpp
@@ -0,0 +1,300 @@
+#include "main/relay_process.hpp"
+
+#include "common/log.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// The balancer asks every second and takes an instance out after two misses.
+constexpr duration balancer_notice = 2500ms;
+
+/// The process ends by itself this long before it would be killed.
+constexpr duration kill_margin = 600ms;
+
+constexpr duration drain_poll = 50ms;
+
+/// Idle connections are looked through this often.
+constexpr duration upkeep_interval = 1s;
+
+/// An instance without a pipeline says that it is ready all the same after
+/// this time, as it serves the plain services.
+constexpr duration longest_warm_up = 8s;
+
+store_watcher_options watch_options()
+{
+    store_watcher_options options;
+    options.list_time = 2s;
+    // Bounds how long a connection that went silent can hide a change; each
+    // watch is a call that is paid for.
+    options.watch_time = 3s;
+    // Changes that come in quick succession are fetched together.
+    options.watch_interval = 150ms;
+    options.relist_spread = 200ms;
+    options.retry.first = 100ms;
+    options.retry.longest = 1s;
+    return options;
+}
+
+/// Short, as streams wait for the repair of a pipeline while nobody leads.
+lease_settings placement_lease()
+{
+    lease_settings lease;
+    lease.term = 3s;
+    lease.renew_interval = 1s;
+    lease.drift_margin = 300ms;
+    lease.retry_interval = 300ms;
+    return lease;
+}
+
+std::string random_life(std::mt19937_64& random)
+{
+    return fmt::format("{:016x}", random());
+}
+
+} // namespace
+
+relay_process::relay_process(node_settings settings, platform_adapter adapter)
+    : settings{std::move(settings)}
+    , adapter{std::move(adapter)}
+    , started_at{this->time.now()}
+    , random{std::random_device{}()}
+    , pipelines{this->time, this->board.fleet}
+    , traffic{
+          this->board,
+          this->adapter.kinds,
+          this->time,
+          [this]
+          {
+              this->pipelines.refresh();
+              this->duty.wake();
+          }}
+    , config_watch{
+          this->adapter.objects,
+          {&this->traffic.config_consumer()},
+          this->time,
+          watch_options(),
+          this->random()}
+    , servers_watch{
+          this->adapter.objects,
+          {&this->traffic.servers_consumer()},
+          this->time,
+          watch_options(),
+          this->random()}
+    , layout{this->board, this->adapter.engines, this->time}
+    , duty{
+          lease_keeper{
+              duty_id{"placement"},
+              leader_lease{
+                  this->settings.self,
+                  random_life(this->random),
+                  placement_lease()},
+              this->adapter.objects,
+              this->time},
+          [this](const leadership& led, const std::function<bool()>& leads)
+          {
+              this->layout.step(led, leads);
+          },
+          [this]
+          {
+              this->traffic.expire();
+          }}
+    , pool{this->io.get_executor(), this->time}
+    , relay{
+          this->io.get_executor(),
+          this->time,
+          this->settings,
+          this->board,
+          this->adapter.codec,
+          this->pipelines,
+          this->servers,
+          this->pool,
+          this->metrics,
+          this->random,
+          {}}
+    , server{
+          this->io,
+          this->relay,
+          {[this]
+           {
+               return this->is_ready();
+           },
+           [this]
+           {
+               return this->metrics_text();
+           }}}
+    , signals{this->io, SIGTERM, SIGINT, SIGHUP}
+    , drain_timer{this->io}
+    , upkeep_timer{this->io}
+{
+}
+
+bool relay_process::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    if (const io_error failed = this->server.start())
+    {
+        log::event(
+            log::level::error,
+            log::channel::main,
+            "cannot_listen",
+            {{"error", failed.message()}});
+        return false;
+    }
+    this->wait_for_signal();
+    this->config_watch.start();
+    this->servers_watch.start();
+    this->duty.start();
+    this->keep_up();
+    log::event(
+        log::level::info,
+        log::channel::main,
+        "started",
+        {{"instance", this->settings.self.str()},
+         {"zone", this->settings.zone.str()}});
+    this->io.run();
+    return true;
+}
+
+void relay_process::keep_up()
+{
+    this->pool.close_idle();
+    this->upkeep_timer.expires_after(upkeep_interval);
+    this->upkeep_timer.async_wait(
+        [this](io_error error)
+        {
+            if (!error)
+            {
+                this->keep_up();
+            }
+        });
+}
+
+bool relay_process::is_ready() const
+{
+    if (this->relay.draining || !this->traffic.is_complete())
+    {
+        return false;
+    }
+    return this->pipelines.covers_all_models() ||
+           this->time.now() - this->started_at >= longest_warm_up;
+}
+
+std::string relay_process::metrics_text() const
+{
+    const auto config = this->board.traffic.load();
+    std::string text = this->metrics.to_prometheus();
+    absl::StrAppend(
+        &text,
+        "fireflysail_active_requests ",
+        this->relay.active_requests,
+        "\nfireflysail_open_connections ",
+        this->relay.open_connections,
+        "\nfireflysail_config_version ",
+        config ? config->version : 0,
+        "\nfireflysail_fleet_revision ",
+        this->board.fleet.load()->version.value(),
+        "\nfireflysail_leads ",
+        this->duty.leads() ? 1 : 0,
+        "\nfireflysail_dropped_log_lines_total ",
+        log::dropped_lines(),
+        "\n");
+    return text;
+}
+
+void relay_process::wait_for_signal()
+{
+    this->signals.async_wait(
+        [this](io_error error, int number)
+        {
+            if (error)
+            {
+                return;
+            }
+            if (number == SIGHUP)
+            {
+                this->on_reload();
+            }
+            else
+            {
+                this->on_stop();
+            }
+            this->wait_for_signal();
+        });
+}
+
+void relay_process::on_reload()
+{
+    const auto read = this->adapter.reload();
+    log::event(
+        read ? log::level::info : log::level::error,
+        log::channel::main,
+        "reloaded",
+        {{"valid", read.has_value()}});
+}
+
+void relay_process::on_stop()
+{
+    if (this->relay.draining)
+    {
+        return;
+    }
+    log::event(
+        log::level::info,
+        log::channel::main,
+        "stopping",
+        {{"active_requests", this->relay.active_requests},
+         {"open_connections", this->relay.open_connections}});
+    this->drain_began = this->time.now();
+    this->server.begin_drain();
+    this->duty.release();
+    this->duty.wake();
+    this->drain();
+}
+
+void relay_process::drain()
+{
+    const duration passed = this->time.now() - this->drain_began;
+    if (this->accepts && passed >= balancer_notice)
+    {
+        this->accepts = false;
+        this->server.stop_accepting();
+    }
+    const bool is_done = !this->accepts && this->relay.active_requests == 0;
+    const bool must_end =
+        passed >= this->settings.bounds.stop_grace - kill_margin;
+    if (is_done || must_end)
+    {
+        log::event(
+            must_end && !is_done ? log::level::warning : log::level::info,
+            log::channel::main,
+            "stopped",
+            {{"cut_off", this->relay.active_requests}});
+        log::stop_background_output();
+        // The watches' threads wait for the store longer than is left.
+        std::_Exit(EXIT_SUCCESS);
+    }
+    this->drain_timer.expires_after(drain_poll);
+    this->drain_timer.async_wait(
+        [this](io_error error)
+        {
+            if (!error)
+            {
+                this->drain();
+            }
+        });
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/main/relay_process.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "blackboard/blackboard.hpp"
+#include "common/clock.hpp"
+#include "control/duty_thread.hpp"
+#include "control/layout_controller.hpp"
+#include "control/traffic_controller.hpp"
+#include "relay/relay_server.hpp"
+#include "settings/node_settings.hpp"
+#include "store/watch_hub.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace fireflysail
+{
+
+/// What the process speaks to the platform with.
+struct platform_adapter
+{
+    store& objects;
+    engine_control& engines;
+    const message_codec& codec;
+    traffic_objects kinds;
+    /// Reads the node's settings again; empty when they have a mistake.
+    std::function<std::optional<node_settings>()> reload;
+};
+
+/// One instance on the platform: the traffic thread with its event loop, a
+/// thread for each watch of the store, and one for the duties.
+class relay_process
+{
+public:
+    relay_process(node_settings settings, platform_adapter adapter);
+
+    relay_process(const relay_process&) = delete;
+    relay_process& operator=(const relay_process&) = delete;
+
+    /// Serves until the process is told to stop; false if it cannot listen.
+    bool run();
+
+private:
+    bool is_ready() const;
+    std::string metrics_text() const;
+    void wait_for_signal();
+    void on_stop();
+    void on_reload();
+    void drain();
+
+    const node_settings settings;
+    platform_adapter adapter;
+    const boot_clock time;
+    const time_point started_at;
+    std::mt19937_64 random;
+
+    blackboard board;
+    pipeline_router pipelines;
+    traffic_controller traffic;
+    watch_hub config_watch;
+    watch_hub servers_watch;
+    layout_controller layout;
+    duty_thread duty;
+
+    asio::io_context io{1};
+    backend_pool pool;
+    server_balancer servers;
+    request_metrics metrics;
+    relay_context relay;
+    relay_server server;
+    asio::signal_set signals;
+    asio::steady_timer drain_timer;
+    asio::steady_timer upkeep_timer;
+    time_point drain_began{};
+    bool accepts = true;
+
+    void keep_up();
+};
+
+} // namespace fireflysail
