--- a/benchmarks/control/in_force.cpp
+++ b/benchmarks/control/in_force.cpp
@@ -3,8 +3,8 @@
 #include "control/entry_editor.hpp"
 #include "control/fleet_controller.hpp"
 #include "control/lists_controller.hpp"
-#include "platform/watch_hub.hpp"
 #include "simulation/event_loop.hpp"
+#include "store/watch_hub.hpp"
 #include "store_model.hpp"
 
 #include <fmt/format.h>
--- a/benchmarks/control/lists_join.cpp
+++ b/benchmarks/control/lists_join.cpp
@@ -1,8 +1,8 @@
 #include "control/lists_join.hpp"
 
 #include "control/lists_codec.hpp"
-#include "platform/store_watcher.hpp"
 #include "simulation/event_loop.hpp"
+#include "store/store_watcher.hpp"
 #include "store_model.hpp"
 
 #include <fmt/format.h>
--- a/source/api/service_handler.cpp
+++ b/source/api/service_handler.cpp
@@ -2,7 +2,7 @@
 
 #include "api/error_body.hpp"
 #include "http/server.hpp"
-#include "platform/claim_codec.hpp"
+#include "store/claim_codec.hpp"
 
 #include <algorithm>
 #include <optional>
--- a/stand_ins/store_model.hpp
+++ b/stand_ins/store_model.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
--- a/unit_tests/control/objects.hpp
+++ b/unit_tests/control/objects.hpp
@@ -3,7 +3,7 @@
 #include "control/fleet_codec.hpp"
 #include "control/lists_codec.hpp"
 #include "control/marks_codec.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 
 #include <string>
 #include <utility>
--- a/unit_tests/control/store_decorator.hpp
+++ b/unit_tests/control/store_decorator.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/error.hpp"
-#include "platform/store.hpp"
+#include "store/store.hpp"
 #include "store_model.hpp"
 
 #include <functional>
--- a/unit_tests/ledger/executor_stress_test.cpp
+++ b/unit_tests/ledger/executor_stress_test.cpp
@@ -1,6 +1,6 @@
 #include "ledger/at_most_once_executor.hpp"
 
-#include "platform/store_claims.hpp"
+#include "store/store_claims.hpp"
 #include "store_model.hpp"
 
 #include <fmt/format.h>
--- a/unit_tests/ledger/executor_test.cpp
+++ b/unit_tests/ledger/executor_test.cpp
@@ -1,8 +1,8 @@
 #include "ledger/at_most_once_executor.hpp"
 
 #include "common/error.hpp"
-#include "platform/claim_codec.hpp"
-#include "platform/store_claims.hpp"
+#include "store/claim_codec.hpp"
+#include "store/store_claims.hpp"
 #include "store_model.hpp"
 
 #include <catch2/catch.hpp>
--- a/unit_tests/ledger/retention_test.cpp
+++ b/unit_tests/ledger/retention_test.cpp
@@ -1,5 +1,5 @@
-#include "platform/claim_codec.hpp"
-#include "platform/claim_sweeper.hpp"
+#include "store/claim_codec.hpp"
+#include "store/claim_sweeper.hpp"
 #include "store_model.hpp"
 
 #include <fmt/format.h>
--- a/unit_tests/store/call_budget_test.cpp
+++ b/unit_tests/store/call_budget_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/budgeted_store.hpp"
+#include "store/budgeted_store.hpp"
 
 #include "store_model.hpp"
 
--- a/unit_tests/store/http_store_test.cpp
+++ b/unit_tests/store/http_store_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_store.hpp"
+#include "store/http_store.hpp"
 
 #include "one_answer_server.hpp"
 #include "store_server.hpp"
--- a/unit_tests/store/store_codec_test.cpp
+++ b/unit_tests/store/store_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/store_codec.hpp"
+#include "store/store_codec.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/unit_tests/store/watch_position_test.cpp
+++ b/unit_tests/store/watch_position_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/watch_hub.hpp"
+#include "store/watch_hub.hpp"
 
 #include "simulation/event_loop.hpp"
 #include "store_model.hpp"
