Relay: retry budgets stay in place while requests hold them

Cause: a budget's reference was held across waits while another service's first request grew the map (found by AddressSanitizer on the program beside a small fake platform).

--- a/source/relay/backend_connection.cpp
+++ b/source/relay/backend_connection.cpp
@@ -21,7 +21,7 @@
 backend_connection::backend_connection(
     const asio::any_io_executor& executor, endpoint address)
     : where{std::move(address)}
-    , socket{executor}
+    , socket{std::make_shared<tcp::socket>(executor)}
     , buffer{most_header_bytes + most_read_bytes}
 {
 }
@@ -39,28 +39,28 @@
     {
         co_return failed;
     }
-    asio::steady_timer timer{this->socket.get_executor()};
+    asio::steady_timer timer{this->socket->get_executor()};
     timer.expires_after(limit);
     timer.async_wait(
         [this](io_error error)
         {
             if (!error)
             {
-                close_quietly(this->socket);
+                close_quietly(*this->socket);
             }
         });
-    const auto [error] = co_await this->socket.async_connect(
+    const auto [error] = co_await this->socket->async_connect(
         {ip, static_cast<unsigned short>(this->where.port)}, as_result);
     if (timer.cancel() == 0)
     {
         // The time was up: its handler has run or is about to.
-        co_await asio::post(this->socket.get_executor(), asio::use_awaitable);
+        co_await asio::post(this->socket->get_executor(), asio::use_awaitable);
         co_return asio::error::timed_out;
     }
     if (!error)
     {
         io_error ignored;
-        ignore(this->socket.set_option(tcp::no_delay{true}, ignored));
+        ignore(this->socket->set_option(tcp::no_delay{true}, ignored));
     }
     co_return error;
 }
@@ -74,9 +74,10 @@
     this->parser->skip(request->method() == http::verb::head);
     this->written = std::make_shared<bool>(false);
     http::async_write(
-        this->socket,
+        *this->socket,
         *request,
-        [request, done = this->written](io_error error, std::size_t)
+        [request, kept = this->socket, done = this->written](
+            io_error error, std::size_t)
         {
             *done = !error;
         });
@@ -85,7 +86,7 @@
 asio::awaitable<io_error> backend_connection::read_header()
 {
     const auto [error, bytes] = co_await http::async_read_header(
-        this->socket, this->buffer, *this->parser, as_result);
+        *this->socket, this->buffer, *this->parser, as_result);
     this->broken = static_cast<bool>(error);
     co_return error;
 }
@@ -109,7 +110,7 @@
     body.size = into.size();
     body.more = true;
     const auto [error, bytes] = co_await http::async_read_some(
-        this->socket, this->buffer, *this->parser, as_result);
+        *this->socket, this->buffer, *this->parser, as_result);
     part.bytes = into.size() - body.size;
     part.is_last = this->parser->is_done();
     if (error && error != http::error::need_buffer)
@@ -123,7 +124,7 @@
 void backend_connection::close()
 {
     this->broken = true;
-    close_quietly(this->socket);
+    close_quietly(*this->socket);
 }
 
 bool backend_connection::may_be_kept() const
@@ -135,7 +136,7 @@
 
 bool backend_connection::is_spoiled()
 {
-    return !this->socket.is_open() || has_pending_input(this->socket);
+    return !this->socket->is_open() || has_pending_input(*this->socket);
 }
 
 } // namespace fireflysail
--- a/source/relay/backend_connection.hpp
+++ b/source/relay/backend_connection.hpp
@@ -62,7 +62,8 @@
     using parser_type = http::response_parser<http::buffer_body>;
 
     const endpoint where;
-    tcp::socket socket;
+    /// Kept by a write that goes on when this object is gone.
+    std::shared_ptr<tcp::socket> socket;
     beast::flat_buffer buffer;
     std::optional<parser_type> parser;
     /// Shared with the write in progress.
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -10,7 +10,7 @@
 #include "serving/pipeline_router.hpp"
 #include "settings/node_settings.hpp"
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
 
 #include <cstddef>
 #include <random>
@@ -31,8 +31,9 @@
     backend_pool& pool;
     request_metrics& metrics;
     std::mt19937_64& random;
-    /// Budget of each service for sending a request once more.
-    absl::flat_hash_map<service_id, retry_budget> retry_budgets;
+    /// Budget of each service for sending a request once more. Requests hold
+    /// on to theirs while they wait, so the map must not move its values.
+    absl::node_hash_map<service_id, retry_budget> retry_budgets;
     /// Set once the instance stops: answers end their connections.
     bool draining = false;
     /// Requests being served.
