Relay: streams leave a silent pipeline together; suspected engines are avoided

Cause: after the loss of a stage each stream waited for the engines' stall of two seconds, and new requests kept going through engines that refused them until their entries lapsed. A pipeline whose streams all stop for 100 ms is left, the first engine is asked which stage it was, and requests avoid it; without a pipeline a request waits 1.5 s for the repair.

--- /dev/null
+++ b/source/control/engine_inquiry.cpp
@@ -0,0 +1,158 @@
+#include "control/engine_inquiry.hpp"
+
+#include "common/log.hpp"
+
+#include <algorithm>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+/// Inquiries in one call: bounds how long it blocks when a whole zone is gone.
+constexpr std::size_t most_inquiries = 4;
+
+} // namespace
+
+engine_inquiry::engine_inquiry(
+    blackboard& board, engine_control& engines, const clock& time)
+    : board{board}
+    , engines{engines}
+    , time{time}
+    , faults{engine_faults::options{}}
+{
+}
+
+std::string_view name_of(engine_fault fault)
+{
+    switch (fault)
+    {
+    case engine_fault::named_by_peer:
+        return "named_by_peer";
+    case engine_fault::unreachable:
+        return "unreachable";
+    case engine_fault::in_silent_pipeline:
+        return "in_silent_pipeline";
+    }
+    return "unknown";
+}
+
+void engine_inquiry::report(const server_id& server, engine_fault fault)
+{
+    const absl::MutexLock lock{&this->mutex};
+    const auto before = this->faults.version();
+    this->faults.report(server, fault, this->time.now());
+    if (this->faults.version() != before)
+    {
+        log::event(
+            log::level::warning,
+            log::channel::routing,
+            "engine_suspected",
+            {{"server", server.str()}, {"cause", name_of(fault)}});
+    }
+}
+
+void engine_inquiry::report_silence(const server_id& first_stage)
+{
+    this->report(first_stage, engine_fault::in_silent_pipeline);
+}
+
+void engine_inquiry::ask()
+{
+    std::vector<server_id> due;
+    const auto fleet = this->board.fleet.load();
+    const auto find_engine = [&fleet](const server_id& id)
+    {
+        return std::ranges::find(fleet->engines, id, &engine::id);
+    };
+    {
+        const absl::MutexLock lock{&this->mutex};
+        this->faults.keep_only(
+            [&](const server_id& id)
+            {
+                return find_engine(id) != fleet->engines.end();
+            });
+        due = this->faults.take_due_inquiries(this->time.now());
+    }
+    // The rest is due again at the next call.
+    due.resize(std::min(due.size(), most_inquiries));
+    for (const server_id& id : due)
+    {
+        const auto server = find_engine(id);
+        if (server != fleet->engines.end())
+        {
+            this->settle(*server, this->engines.status(*server));
+        }
+    }
+}
+
+void engine_inquiry::settle(
+    const engine& server, const result<engine_report>& answer)
+{
+    if (!answer)
+    {
+        const absl::MutexLock lock{&this->mutex};
+        this->faults.inquiry_failed(server.id, this->time.now());
+        log::event(
+            log::level::warning,
+            log::channel::routing,
+            "engine_unanswered",
+            {{"server", server.id.str()},
+             {"lost", this->faults.is_confirmed(server.id)}});
+        return;
+    }
+    const engine_report& report = answer.value();
+    const bool same_life = report.started_at_ms == 0 ||
+                           server.started_at_ms == 0 ||
+                           report.started_at_ms == server.started_at_ms;
+    const auto fleet = this->board.fleet.load();
+    for (const stalled_stream& stream : report.stalled)
+    {
+        if (const engine* held_up_by = this->find(*fleet, stream.waits_for))
+        {
+            this->report(held_up_by->id, engine_fault::named_by_peer);
+        }
+    }
+    if (!same_life)
+    {
+        // Another life of the engine, which holds nothing of what is listed.
+        const absl::MutexLock lock{&this->mutex};
+        this->faults.inquiry_failed(server.id, this->time.now());
+        return;
+    }
+    const bool holds_layers = server.holdings.empty() || !report.layers.empty();
+    if (holds_layers && report.stalled.empty())
+    {
+        const absl::MutexLock lock{&this->mutex};
+        this->faults.inquiry_answered(server.id, this->time.now());
+    }
+}
+
+const engine*
+engine_inquiry::find(const fleet_snapshot& fleet, const endpoint& address) const
+{
+    const auto found =
+        std::ranges::find(fleet.engines, address, &engine::address);
+    return found == fleet.engines.end() ? nullptr : &*found;
+}
+
+std::vector<server_id> engine_inquiry::avoided() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->faults.avoided(this->time.now());
+}
+
+bool engine_inquiry::is_lost(const server_id& server) const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->faults.is_confirmed(server);
+}
+
+bool engine_inquiry::has_suspicions() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return !this->faults.avoided(this->time.now()).empty();
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/control/engine_inquiry.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "blackboard/blackboard.hpp"
+#include "common/clock.hpp"
+#include "control/engine_control.hpp"
+#include "routing/engine_faults.hpp"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+#include <string_view>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// Suspicions that the traffic thread and the duties share, and the inquiries
+/// that settle them. Safe to use from several threads.
+class engine_inquiry
+{
+public:
+    engine_inquiry(
+        blackboard& board, engine_control& engines, const clock& time);
+
+    void report(const server_id& server, engine_fault fault);
+
+    /// All stages of a pipeline stopped; the first is asked which one it was.
+    void report_silence(const server_id& first_stage);
+
+    /// Asks the engines under suspicion; blocks for a bounded time each.
+    void ask();
+
+    std::vector<server_id> avoided() const;
+
+    bool is_lost(const server_id& server) const;
+
+    bool has_suspicions() const;
+
+private:
+    void settle(const engine& server, const result<engine_report>& answer);
+    const engine*
+    find(const fleet_snapshot& fleet, const endpoint& address) const;
+
+    blackboard& board;
+    engine_control& engines;
+    const clock& time;
+    mutable absl::Mutex mutex;
+    engine_faults faults ABSL_GUARDED_BY(mutex);
+};
+
+std::string_view name_of(engine_fault fault);
+
+} // namespace fireflysail
--- a/source/control/layout_controller.cpp
+++ b/source/control/layout_controller.cpp
@@ -44,10 +44,12 @@
 layout_controller::layout_controller(
     blackboard& board,
     engine_control& engines,
+    const engine_inquiry& inquiry,
     const clock& time,
     layout_controller_options options)
     : board{board}
     , engines{engines}
+    , inquiry{inquiry}
     , time{time}
     , options{options}
 {
@@ -134,7 +136,7 @@
     for (const engine& server : fleet.engines)
     {
         if (server.service != service || !server.healthy ||
-            !accepts_new_work(server.mark))
+            !accepts_new_work(server.mark) || this->inquiry.is_lost(server.id))
         {
             continue;
         }
--- a/source/control/layout_controller.hpp
+++ b/source/control/layout_controller.hpp
@@ -3,6 +3,7 @@
 #include "blackboard/blackboard.hpp"
 #include "common/clock.hpp"
 #include "control/engine_control.hpp"
+#include "control/engine_inquiry.hpp"
 #include "control/leader_lease.hpp"
 #include "routing/layer_layout.hpp"
 
@@ -36,6 +37,7 @@
     layout_controller(
         blackboard& board,
         engine_control& engines,
+        const engine_inquiry& inquiry,
         const clock& time,
         layout_controller_options options = {});
 
@@ -68,6 +70,7 @@
 
     blackboard& board;
     engine_control& engines;
+    const engine_inquiry& inquiry;
     const clock& time;
     const layout_controller_options options;
     std::map<server_id, pending_order> pending;
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -93,7 +93,8 @@
           this->time,
           watch_options(),
           this->random()}
-    , layout{this->board, this->adapter.engines, this->time}
+    , inquiry{this->board, this->adapter.engines, this->time}
+    , layout{this->board, this->adapter.engines, this->inquiry, this->time}
     , duty{
           lease_keeper{
               duty_id{"placement"},
@@ -110,8 +111,10 @@
           [this]
           {
               this->traffic.expire();
+              this->inquiry.ask();
           }}
     , pool{this->io.get_executor(), this->time}
+    , stalls{this->io.get_executor(), this->time}
     , relay{
           this->io.get_executor(),
           this->time,
@@ -120,6 +123,8 @@
           this->adapter.codec,
           this->pipelines,
           this->servers,
+          this->inquiry,
+          this->stalls,
           this->pool,
           this->metrics,
           this->random,
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -63,12 +63,14 @@
     traffic_controller traffic;
     watch_hub config_watch;
     watch_hub servers_watch;
+    engine_inquiry inquiry;
     layout_controller layout;
     duty_thread duty;
 
     asio::io_context io{1};
     backend_pool pool;
     server_balancer servers;
+    stall_monitor stalls;
     request_metrics metrics;
     relay_context relay;
     relay_server server;
--- a/source/relay/relay_context.cpp
+++ b/source/relay/relay_context.cpp
@@ -8,7 +8,11 @@
 
 /// Instances among which the fleet's retries are divided. The number that run
 /// is not known, so it is taken from above.
-constexpr double assumed_instances = 16;
+constexpr double assumed_instances = 12;
+
+/// Part of the allowed share of retries that is used: requests that fail count
+/// for the allowance and not for the budget, so this errs on the safe side.
+constexpr double used_share = 0.9;
 
 } // namespace
 
@@ -24,7 +28,7 @@
     const double window =
         std::chrono::duration<double>{bounds.retry_window}.count();
     retry_budget::options chosen;
-    chosen.share_of_successes = bounds.retry_share / 2;
+    chosen.share_of_successes = bounds.retry_share * used_share;
     // A full bucket and its refill within one window stay within the slack.
     chosen.refill_per_second = slack / 2 / window;
     chosen.most = slack / 2;
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -2,9 +2,11 @@
 
 #include "blackboard/blackboard.hpp"
 #include "common/clock.hpp"
+#include "control/engine_inquiry.hpp"
 #include "metrics/request_metrics.hpp"
 #include "relay/backend_pool.hpp"
 #include "relay/message_codec.hpp"
+#include "relay/stall_monitor.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/server_balancer.hpp"
 #include "serving/pipeline_router.hpp"
@@ -28,6 +30,8 @@
     const message_codec& codec;
     pipeline_router& pipelines;
     server_balancer& servers;
+    engine_inquiry& inquiry;
+    stall_monitor& stalls;
     backend_pool& pool;
     request_metrics& metrics;
     std::mt19937_64& random;
--- /dev/null
+++ b/source/relay/stall_monitor.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "common/clock.hpp"
+#include "relay/io.hpp"
+#include "routing/pipeline_watch.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace fireflysail
+{
+
+/// Ends the runs of streams whose pipeline fell silent. Looks at all of them
+/// at a steady pace while there are any.
+class stall_monitor
+{
+public:
+    stall_monitor(asio::any_io_executor executor, const clock& time);
+
+    stall_monitor(const stall_monitor&) = delete;
+    stall_monitor& operator=(const stall_monitor&) = delete;
+
+    /// One run, for as long as this object lives.
+    class run
+    {
+    public:
+        /// `on_silent` is called at most once.
+        run(stall_monitor& monitor,
+            std::uint64_t pipeline,
+            std::function<void()> on_silent);
+        ~run();
+
+        run(const run&) = delete;
+        run& operator=(const run&) = delete;
+
+        void on_event();
+
+    private:
+        stall_monitor& monitor;
+        const run_id id;
+    };
+
+private:
+    void schedule();
+    void look();
+
+    const clock& time;
+    asio::steady_timer timer;
+    bool scheduled = false;
+    pipeline_watch watch;
+    absl::flat_hash_map<run_id, std::function<void()>> handlers;
+};
+
+} // namespace fireflysail
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -1,6 +1,7 @@
 #include "relay/exchange.hpp"
 
 #include "backend/event_stream.hpp"
+#include "common/log.hpp"
 
 #include <absl/container/flat_hash_set.h>
 
@@ -23,9 +24,12 @@
 /// Attempts in a row that brought no event, before the stream is given up.
 constexpr int most_fruitless = 4;
 
-/// Pause before asking again while no pipeline is there for a stream that has
-/// begun.
-constexpr duration wait_for_pipeline = 100ms;
+/// Pause before asking again while no pipeline is there.
+constexpr duration wait_for_pipeline = 50ms;
+
+/// A request that has not begun waits this long for a pipeline: lost layers
+/// are loaded elsewhere in one to two seconds.
+constexpr duration longest_hold = 1500ms;
 
 /// Output that is expected of a request that says nothing of it.
 constexpr std::uint32_t default_output_tokens = 150;
@@ -62,6 +66,9 @@
     std::vector<server_id> excluded;
     bool any_ran = false;
     bool refused = false;
+    /// The current run was ended because its pipeline fell silent.
+    bool silenced = false;
+    stall_monitor::run* run = nullptr;
 };
 
 route_request describe(const stream_state& state)
@@ -78,10 +85,19 @@
             : expected;
     wanted.prefix = facts.shared_prefix;
     wanted.prefix_tokens = facts.shared_prefix_tokens;
-    wanted.excluded = state.excluded;
     return wanted;
 }
 
+route_outcome choose(const stream_state& state)
+{
+    route_request wanted = describe(state);
+    std::vector<server_id> excluded = state.served.relay.inquiry.avoided();
+    excluded.insert(
+        excluded.end(), state.excluded.begin(), state.excluded.end());
+    wanted.excluded = excluded;
+    return state.served.relay.pipelines.choose(wanted);
+}
+
 /// Blames the engine that the answer names, or else the one that was asked.
 void exclude_failed(
     stream_state& state,
@@ -97,6 +113,8 @@
     const auto& blamed =
         named == routed.stages.end() ? routed.stages.front() : *named;
     state.excluded.push_back(blamed.server);
+    state.served.relay.inquiry.report(
+        blamed.server, engine_fault::named_by_peer);
 }
 
 /// Forwards the whole events received; false when the caller is lost.
@@ -122,6 +140,7 @@
     }
     exchange& served = state.served;
     state.fruitless = 0;
+    state.run->on_event();
     io_error failed;
     if (state.header_sent)
     {
@@ -235,7 +254,6 @@
     if (failed)
     {
         state.any_ran = true;
-        state.excluded.push_back(routed.stages.front().server);
         co_return attempt_end::broken;
     }
     const auto& header = connection.header();
@@ -279,6 +297,32 @@
     co_return co_await relay_events(state, connection);
 }
 
+/// Keeps this and other requests off what broke the run.
+void blame(stream_state& state, const routed_pipeline& routed)
+{
+    exchange& served = state.served;
+    const server_id& first = routed.stages.front().server;
+    log::event(
+        log::level::warning,
+        log::channel::routing,
+        "run_broken",
+        {{"request", served.facts.attempt.str()},
+         {"server", first.str()},
+         {"silent", state.silenced},
+         {"last_event", state.last_event.value_or(0)},
+         {"status", served.last_status},
+         {"attempt", served.attempts}});
+    state.excluded.push_back(first);
+    if (state.silenced)
+    {
+        served.relay.inquiry.report_silence(first);
+    }
+    else
+    {
+        served.relay.inquiry.report(first, engine_fault::unreachable);
+    }
+}
+
 asio::awaitable<attempt_end>
 attempt_once(stream_state& state, const routed_pipeline& routed)
 {
@@ -290,6 +334,7 @@
     if (!is_open)
     {
         state.excluded.push_back(first.server);
+        relay.inquiry.report(first.server, engine_fault::unreachable);
         co_return attempt_end::unsent;
     }
     dispatch_facts facts;
@@ -302,9 +347,24 @@
     served.last_server = first.server;
     const pipeline_router::usage usage{relay.pipelines, routed.route};
     served.current = taken.connection.get();
+    state.silenced = false;
+    stall_monitor::run run{
+        relay.stalls,
+        routed.route.key,
+        [&state, connection = taken.connection.get()]
+        {
+            state.silenced = true;
+            connection->close();
+        }};
+    state.run = &run;
     taken.connection->start_request(make_dispatch(served, facts));
     const auto end = co_await read_stream(state, routed, *taken.connection);
+    state.run = nullptr;
     served.current = nullptr;
+    if (end == attempt_end::broken && !served.is_over())
+    {
+        blame(state, routed);
+    }
     relay.pool.give_back(std::move(taken.connection));
     co_return end;
 }
@@ -371,11 +431,12 @@
     asio::steady_timer pause{relay.executor};
     while (!served.is_over())
     {
-        const auto choice = relay.pipelines.choose(describe(state));
+        const auto choice = choose(state);
         const auto* routed = std::get_if<routed_pipeline>(&choice);
         if (routed == nullptr)
         {
-            if (!state.header_sent)
+            const duration waited = relay.time.now() - served.received_at;
+            if (!state.header_sent && waited >= longest_hold)
             {
                 break;
             }
--- /dev/null
+++ b/source/routing/engine_faults.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "common/clock.hpp"
+#include "common/identifiers.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// How an engine came under suspicion.
+enum class engine_fault
+{
+    /// Another engine named it as the one that a request failed at.
+    named_by_peer,
+    /// It took no connection, or cut one without an answer.
+    unreachable,
+    /// Streams through a pipeline that it belongs to stopped together.
+    in_silent_pipeline,
+};
+
+/// Engines that requests should avoid for now, before the store says so: an
+/// entry outlives its engine by several heartbeats, while every request that
+/// is sent through it waits in vain. A suspicion ends by itself unless it is
+/// renewed or an inquiry confirms it; each renewal doubles its time.
+///
+/// Answers the load pattern of engines that crash, hang or leave unannounced
+/// under full load.
+class engine_faults
+{
+public:
+    struct options
+    {
+        duration first_suspicion = std::chrono::milliseconds{400};
+        duration longest_suspicion = std::chrono::seconds{3};
+        /// A suspicion this long past its end counts as a new one.
+        duration forgotten_after = std::chrono::seconds{5};
+        /// Inquiries without an answer that confirm the loss of an engine.
+        int inquiries_to_confirm = 2;
+        /// Pause between two inquiries about one engine.
+        duration inquiry_pause = std::chrono::milliseconds{300};
+    };
+
+    explicit engine_faults(const options& chosen);
+
+    void report(const server_id& server, engine_fault fault, time_point now);
+
+    /// The engine answered an inquiry and holds what it should. Ends a
+    /// suspicion that rested on silence; one that rests on what a peer or a
+    /// connection told runs out by itself, as a draining engine answers too.
+    void inquiry_answered(const server_id& server, time_point now);
+
+    /// An inquiry got no answer: the engine stays out until it answers one.
+    void inquiry_failed(const server_id& server, time_point now);
+
+    /// Engines that requests avoid now.
+    std::vector<server_id> avoided(time_point now) const;
+
+    /// Engines that an inquiry should ask now; counts as asked.
+    std::vector<server_id> take_due_inquiries(time_point now);
+
+    /// Enough inquiries failed: its layers count as lost.
+    bool is_confirmed(const server_id& server) const;
+
+    /// Grows with each change of what is avoided or confirmed.
+    std::uint64_t version() const;
+
+    /// Drops what is not in the fleet any more.
+    template <class IsKnown>
+    void keep_only(IsKnown&& is_known)
+    {
+        absl::erase_if(
+            this->records,
+            [&is_known](const auto& item)
+            {
+                return !is_known(item.first);
+            });
+    }
+
+private:
+    struct record
+    {
+        engine_fault fault = engine_fault::unreachable;
+        time_point until;
+        duration length{};
+        int failed_inquiries = 0;
+        time_point next_inquiry;
+    };
+
+    options chosen;
+    absl::flat_hash_map<server_id, record> records;
+    std::uint64_t changes = 0;
+};
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/routing/pipeline_watch.cpp
@@ -0,0 +1,87 @@
+#include "routing/pipeline_watch.hpp"
+
+#include <algorithm>
+
+namespace fireflysail
+{
+
+pipeline_watch::pipeline_watch(const options& chosen)
+    : chosen{chosen}
+{
+}
+
+run_id pipeline_watch::begin(std::uint64_t pipeline, time_point now)
+{
+    const run_id id{++this->last_id};
+    this->runs.emplace(id, run{pipeline, now, false});
+    return id;
+}
+
+void pipeline_watch::on_event(run_id id, time_point now)
+{
+    const auto found = this->runs.find(id);
+    if (found != this->runs.end())
+    {
+        found->second.last_event = now;
+        found->second.has_events = true;
+    }
+}
+
+void pipeline_watch::end(run_id id)
+{
+    this->runs.erase(id);
+}
+
+bool pipeline_watch::empty() const
+{
+    return this->runs.empty();
+}
+
+std::vector<run_id> pipeline_watch::silent(time_point now) const
+{
+    struct summary
+    {
+        std::size_t going = 0;
+        time_point last_event;
+        time_point first_begun = time_point::max();
+    };
+    absl::flat_hash_map<std::uint64_t, summary> pipelines;
+    for (const auto& [id, entry] : this->runs)
+    {
+        summary& of = pipelines[entry.pipeline];
+        if (entry.has_events)
+        {
+            ++of.going;
+            of.last_event = std::max(of.last_event, entry.last_event);
+        }
+        else
+        {
+            of.first_begun = std::min(of.first_begun, entry.last_event);
+        }
+    }
+    const auto is_silent = [this, now](const summary& of)
+    {
+        if (of.going == 0)
+        {
+            return now - of.first_begun >= this->chosen.first_event_silence;
+        }
+        const duration bound = of.going >= this->chosen.crowd
+                                   ? this->chosen.crowd_silence
+                                   : this->chosen.lone_silence;
+        return now - of.last_event >= bound;
+    };
+    std::vector<run_id> found;
+    for (const auto& [id, entry] : this->runs)
+    {
+        // A run that has just begun may be on its way.
+        const bool waited =
+            now - entry.last_event >= this->chosen.crowd_silence;
+        if (waited && is_silent(pipelines.at(entry.pipeline)))
+        {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/routing/pipeline_watch.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "common/clock.hpp"
+#include "common/strong_types.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// One run of a stream on a pipeline.
+using run_id = strong_number<struct run_id_tag>;
+
+/// Finds pipelines that stopped as a whole. A stage that dies or hangs holds
+/// up every stream through it, while a slow stream leaves the others going:
+/// silence of all of them together is certain long before the bound that a
+/// single stream would need.
+///
+/// Answers the load pattern of a stage lost under many running streams, of
+/// which each must go on within its gap objective.
+class pipeline_watch
+{
+public:
+    struct options
+    {
+        /// Silence of at least `crowd` streams that had been going.
+        duration crowd_silence = std::chrono::milliseconds{100};
+        std::size_t crowd = 3;
+        /// Silence of fewer streams.
+        duration lone_silence = std::chrono::milliseconds{350};
+        /// Silence before the first event of a run, while no other run on the
+        /// pipeline goes on.
+        duration first_event_silence = std::chrono::milliseconds{900};
+    };
+
+    explicit pipeline_watch(const options& chosen);
+
+    /// `pipeline` is the key of the pipeline.
+    run_id begin(std::uint64_t pipeline, time_point now);
+    void on_event(run_id run, time_point now);
+    void end(run_id run);
+
+    /// Runs on pipelines that are silent now.
+    std::vector<run_id> silent(time_point now) const;
+
+    bool empty() const;
+
+private:
+    struct run
+    {
+        std::uint64_t pipeline = 0;
+        time_point last_event;
+        bool has_events = false;
+    };
+
+    options chosen;
+    absl::flat_hash_map<run_id, run> runs;
+    std::uint64_t last_id = 0;
+};
+
+} // namespace fireflysail
