Control: repairs go on while the store is away; lost engines leave the plan

Cause: while the store was down nobody led, so layers that were lost stayed lost for the whole outage, and what was repaired could not be seen.

--- a/source/control/duty_thread.cpp
+++ b/source/control/duty_thread.cpp
@@ -65,6 +65,14 @@
     return this->leading;
 }
 
+std::optional<leadership> duty_thread::current() const
+{
+    const auto latest = this->keeper.latest();
+    const bool is_refused =
+        latest && this->refused && latest->fence <= *this->refused;
+    return is_refused ? std::nullopt : latest;
+}
+
 void duty_thread::step(bool give_back)
 {
     if (give_back)
@@ -72,7 +80,7 @@
         this->keeper.release();
     }
     this->keeper.step();
-    const auto led = this->keeper.held();
+    const auto led = this->current();
     bool led_before = false;
     {
         const absl::MutexLock lock{&this->mutex};
@@ -84,16 +92,21 @@
             log::level::info,
             log::channel::control,
             led ? "leadership_gained" : "leadership_lost",
-            {{"fence", led ? led->fence.value() : 0}});
+            {{"fence", led ? led->fence.value() : 0},
+             {"lease_valid", this->keeper.held().has_value()}});
     }
     if (led)
     {
-        this->when_leading(
+        const bool goes_on = this->when_leading(
             *led,
             [this]
             {
-                return this->keeper.held().has_value();
+                return this->current().has_value();
             });
+        if (!goes_on)
+        {
+            this->refused = led->fence;
+        }
     }
     this->upkeep();
 }
--- a/source/control/duty_thread.hpp
+++ b/source/control/duty_thread.hpp
@@ -7,18 +7,23 @@
 #include <absl/synchronization/mutex.h>
 
 #include <functional>
+#include <optional>
 #include <thread>
 
 namespace fireflysail
 {
 
 /// Keeps the lease of one duty on a thread of its own and carries the duty out
-/// while this instance leads.
+/// while this instance leads. Goes on after its lease ran out while the store
+/// shows nobody else's: every effect carries the fencing number, so a later
+/// leader is safe, and a store that is down for long must not stop repairs.
+/// Ends at the first refusal of the number.
 class duty_thread
 {
 public:
-    /// Carries out what is due; asks `still_leads` before each effect.
-    using work = std::function<void(
+    /// Carries out what is due; asks `still_leads` before each effect. False
+    /// once an effect was refused because of a later leader.
+    using work = std::function<bool(
         const leadership& led, const std::function<bool()>& still_leads)>;
 
     /// `upkeep` is called about as often, whether this instance leads or not.
@@ -42,6 +47,7 @@
 private:
     void run();
     void step(bool give_back);
+    std::optional<leadership> current() const;
 
     lease_keeper keeper;
     const work when_leading;
@@ -52,6 +58,8 @@
     bool woken ABSL_GUARDED_BY(mutex) = false;
     bool releasing ABSL_GUARDED_BY(mutex) = false;
     bool leading ABSL_GUARDED_BY(mutex) = false;
+    /// Number that was refused.
+    std::optional<fencing_number> refused;
     std::thread thread;
 };
 
--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -87,6 +87,26 @@
     }
 }
 
+std::vector<std::pair<server_id, engine_report>> engine_inquiry::survey()
+{
+    const auto fleet = this->board.fleet.load();
+    std::vector<std::pair<server_id, engine_report>> reports;
+    for (const engine& server : fleet->engines)
+    {
+        if (this->is_lost(server.id))
+        {
+            continue;
+        }
+        auto answer = this->engines.status(server);
+        this->settle(server, answer);
+        if (answer)
+        {
+            reports.emplace_back(server.id, std::move(answer).value());
+        }
+    }
+    return reports;
+}
+
 void engine_inquiry::settle(
     const engine& server, const result<engine_report>& answer)
 {
@@ -149,6 +169,20 @@
     return this->faults.is_confirmed(server);
 }
 
+std::vector<server_id> engine_inquiry::lost() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    auto servers = this->faults.avoided(this->time.now());
+    std::erase_if(
+        servers,
+        [this](const server_id& server)
+        {
+            this->mutex.AssertReaderHeld();
+            return !this->faults.is_confirmed(server);
+        });
+    return servers;
+}
+
 bool engine_inquiry::has_suspicions() const
 {
     const absl::MutexLock lock{&this->mutex};
--- a/source/control/engine_inquiry.hpp
+++ b/source/control/engine_inquiry.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace fireflysail
@@ -31,10 +32,16 @@
     /// Asks the engines under suspicion; blocks for a bounded time each.
     void ask();
 
+    /// Asks every engine what it holds, suspected or not; those that answer.
+    std::vector<std::pair<server_id, engine_report>> survey();
+
     std::vector<server_id> avoided() const;
 
     bool is_lost(const server_id& server) const;
 
+    /// Engines whose loss is confirmed.
+    std::vector<server_id> lost() const;
+
     bool has_suspicions() const;
 
 private:
--- a/source/control/layout_controller.cpp
+++ b/source/control/layout_controller.cpp
@@ -55,7 +55,7 @@
 {
 }
 
-void layout_controller::step(
+bool layout_controller::step(
     const leadership& led, const std::function<bool()>& still_leads)
 {
     const auto config = this->board.traffic.load();
@@ -63,7 +63,7 @@
     const time_point now = this->time.now();
     if (!config || !this->has_settled(*fleet, now))
     {
-        return;
+        return true;
     }
     this->forget_settled(*fleet, now);
     for (const auto& [id, service] : config->services)
@@ -88,11 +88,17 @@
             }
             if (!still_leads())
             {
-                return;
+                return true;
+            }
+            const order_answer answer =
+                this->send(*server, wanted, *service.engines, led.fence);
+            if (answer == order_answer::fenced)
+            {
+                return false;
             }
-            this->send(*server, wanted, *service.engines, led.fence);
         }
     }
+    return true;
 }
 
 bool layout_controller::has_settled(const fleet_snapshot& fleet, time_point now)
@@ -158,7 +164,7 @@
     return described;
 }
 
-void layout_controller::send(
+order_answer layout_controller::send(
     const engine& server,
     const layout_step& step,
     const engine_profile& profile,
@@ -200,6 +206,7 @@
          {"fence", fence.value()},
          {"outcome", name_of(answer)}});
     this->pending.insert_or_assign(server.id, order);
+    return answer;
 }
 
 } // namespace fireflysail
--- a/source/control/layout_controller.hpp
+++ b/source/control/layout_controller.hpp
@@ -42,8 +42,9 @@
         layout_controller_options options = {});
 
     /// Sends the orders that are due. Ends early once `still_leads` does not
-    /// hold. Blocks for a bounded time per order.
-    void step(const leadership& led, const std::function<bool()>& still_leads);
+    /// hold. Blocks for a bounded time per order. False once an engine refused
+    /// the fencing number.
+    bool step(const leadership& led, const std::function<bool()>& still_leads);
 
 private:
     struct pending_order
@@ -62,7 +63,7 @@
         const service_id& service,
         const engine_profile& profile) const;
     bool has_settled(const fleet_snapshot& fleet, time_point now);
-    void send(
+    order_answer send(
         const engine& server,
         const layout_step& step,
         const engine_profile& profile,
--- a/source/control/leader_lease.cpp
+++ b/source/control/leader_lease.cpp
@@ -167,6 +167,16 @@
     return this->own;
 }
 
+std::optional<leadership> leader_lease::latest() const
+{
+    return this->own;
+}
+
+duration leader_lease::call_time() const
+{
+    return this->settings.call_time;
+}
+
 bool leader_lease::is_own(const lease_record& record) const
 {
     return record.holder == this->self && record.life == this->life;
--- a/source/control/leader_lease.hpp
+++ b/source/control/leader_lease.hpp
@@ -24,6 +24,8 @@
     duration drift_margin = std::chrono::seconds{1};
     /// Pause after a failed call.
     duration retry_interval = std::chrono::milliseconds{500};
+    /// Longest wait for the store's answer to one call.
+    duration call_time = std::chrono::seconds{1};
 };
 
 /// The lease object of one duty.
@@ -103,6 +105,12 @@
     /// The leadership held at `now`, if any.
     std::optional<leadership> held(time_point now) const;
 
+    /// The latest leadership, run out or not, as long as no later lease was
+    /// seen. Good only for effects that fencing numbers guard.
+    std::optional<leadership> latest() const;
+
+    duration call_time() const;
+
 private:
     struct sent_write
     {
--- a/source/control/lease_keeper.cpp
+++ b/source/control/lease_keeper.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr std::uint64_t any_number = std::numeric_limits<std::uint64_t>::max();
-constexpr auto call_timeout = std::chrono::seconds{1};
 
 /// Store calls in one step: a lost race is read back and tried once more.
 constexpr int calls_per_step = 4;
@@ -88,6 +87,11 @@
     return this->lease.held(this->time.now());
 }
 
+std::optional<leadership> lease_keeper::latest() const
+{
+    return this->lease.latest();
+}
+
 void lease_keeper::set_candidate(bool wanted)
 {
     this->lease.set_candidate(wanted);
@@ -100,8 +104,8 @@
 
 void lease_keeper::read()
 {
-    const auto object =
-        this->objects.get(this->key, this->time.now() + call_timeout);
+    const auto object = this->objects.get(
+        this->key, this->time.now() + this->lease.call_time());
     result<std::optional<observed_lease>> answer =
         std::optional<observed_lease>{};
     if (object)
@@ -121,7 +125,7 @@
 
 void lease_keeper::write(const write_lease& wanted)
 {
-    const auto deadline = this->time.now() + call_timeout;
+    const auto deadline = this->time.now() + this->lease.call_time();
     const auto value = encode(wanted.record);
     const auto answer =
         wanted.expected == revision{}
--- a/source/control/lease_keeper.hpp
+++ b/source/control/lease_keeper.hpp
@@ -35,6 +35,9 @@
     /// The leadership held at this moment.
     std::optional<leadership> held() const;
 
+    /// See leader_lease::latest().
+    std::optional<leadership> latest() const;
+
     void set_candidate(bool wanted);
 
     /// Gives the lease back; effective with the next `step`.
--- a/source/control/server_directory.cpp
+++ b/source/control/server_directory.cpp
@@ -59,6 +59,24 @@
     this->expire(now);
 }
 
+bool server_directory::observe(
+    const server_id& id,
+    const std::vector<held_layers>& layers,
+    std::uint64_t started_at_ms)
+{
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end())
+    {
+        return false;
+    }
+    server_entry& entry = found->second.entry;
+    const bool changed =
+        entry.layers != layers || entry.started_at_ms != started_at_ms;
+    entry.layers = layers;
+    entry.started_at_ms = started_at_ms;
+    return changed;
+}
+
 void server_directory::lose(listed& server, time_point now)
 {
     server.kept_until = this->is_returning(now)
--- a/source/control/server_directory.hpp
+++ b/source/control/server_directory.hpp
@@ -37,6 +37,12 @@
     void put(server_entry entry);
     void remove(const server_id& id, time_point now);
 
+    /// Replaces what a listed engine holds; true when that changed anything.
+    bool observe(
+        const server_id& id,
+        const std::vector<held_layers>& layers,
+        std::uint64_t started_at_ms);
+
     /// Drops kept entries whose time is up; true when there were any.
     bool expire(time_point now);
 
--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -42,6 +42,27 @@
     }
 }
 
+void traffic_controller::set_lost(std::vector<server_id> servers)
+{
+    std::ranges::sort(servers);
+    const absl::MutexLock lock{&this->mutex};
+    if (servers != this->lost)
+    {
+        this->lost = std::move(servers);
+        this->publish_fleet();
+    }
+}
+
+void traffic_controller::observe(
+    const server_id& server, const engine_report& report)
+{
+    const absl::MutexLock lock{&this->mutex};
+    if (this->directory.observe(server, report.layers, report.started_at_ms))
+    {
+        this->publish_fleet();
+    }
+}
+
 bool traffic_controller::is_complete() const
 {
     const absl::MutexLock lock{&this->mutex};
@@ -112,8 +133,13 @@
     {
         return;
     }
-    this->board.fleet.publish(std::make_shared<fleet_snapshot>(
-        build_fleet(this->directory.entries(), *known, this->servers_version)));
+    auto fleet = std::make_shared<fleet_snapshot>(
+        build_fleet(this->directory.entries(), *known, this->servers_version));
+    for (engine& server : fleet->engines)
+    {
+        server.healthy = !std::ranges::binary_search(this->lost, server.id);
+    }
+    this->board.fleet.publish(std::move(fleet));
     this->on_fleet();
 }
 
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -3,6 +3,7 @@
 #include "blackboard/blackboard.hpp"
 #include "common/clock.hpp"
 #include "common/result.hpp"
+#include "control/engine_control.hpp"
 #include "control/server_directory.hpp"
 #include "store/watch_hub.hpp"
 
@@ -12,6 +13,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fireflysail
 {
@@ -46,10 +48,17 @@
     /// Consumer of the backend servers' watch.
     store_consumer& servers_consumer();
 
+    /// Engines that do not answer, whatever the store says of them.
+    void set_lost(std::vector<server_id> servers);
+
     /// Takes out servers whose entries have not come back; called now and
     /// then.
     void expire();
 
+    /// Takes what an engine itself says that it holds, while the store cannot
+    /// be asked.
+    void observe(const server_id& server, const engine_report& report);
+
     /// True when both were read once.
     bool is_complete() const;
 
@@ -92,6 +101,7 @@
     mutable absl::Mutex mutex;
     server_directory directory ABSL_GUARDED_BY(mutex);
     revision servers_version ABSL_GUARDED_BY(mutex);
+    std::vector<server_id> lost ABSL_GUARDED_BY(mutex);
     bool has_servers ABSL_GUARDED_BY(mutex) = false;
 };
 
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -33,6 +33,13 @@
 /// this time, as it serves the plain services.
 constexpr duration longest_warm_up = 8s;
 
+/// The store must have failed for this long before engines are asked what they
+/// hold; a single lost call is no outage.
+constexpr duration survey_after = 500ms;
+
+/// Each survey asks every engine once, and each question is paid for.
+constexpr duration survey_interval = 1s;
+
 store_watcher_options watch_options()
 {
     store_watcher_options options;
@@ -56,6 +63,7 @@
     lease.renew_interval = 1s;
     lease.drift_margin = 300ms;
     lease.retry_interval = 300ms;
+    lease.call_time = 600ms;
     return lease;
 }
 
@@ -106,12 +114,14 @@
               this->time},
           [this](const leadership& led, const std::function<bool()>& leads)
           {
-              this->layout.step(led, leads);
+              return this->layout.step(led, leads);
           },
           [this]
           {
               this->traffic.expire();
               this->inquiry.ask();
+              this->traffic.set_lost(this->inquiry.lost());
+              this->survey_if_blind();
           }}
     , pool{this->io.get_executor(), this->time}
     , stalls{this->io.get_executor(), this->time}
@@ -187,6 +197,34 @@
         });
 }
 
+void relay_process::survey_if_blind()
+{
+    const auto failing_since = this->servers_watch.status().failing_since;
+    const time_point now = this->time.now();
+    const bool is_due = failing_since && now - *failing_since >= survey_after &&
+                        now - this->last_survey >= survey_interval &&
+                        (!this->pipelines.covers_every_zone() ||
+                         this->inquiry.has_suspicions());
+    if (!is_due)
+    {
+        return;
+    }
+    const auto reports = this->inquiry.survey();
+    for (const auto& [server, report] : reports)
+    {
+        this->traffic.observe(server, report);
+    }
+    this->last_survey = this->time.now();
+    log::event(
+        log::level::info,
+        log::channel::control,
+        "engines_surveyed",
+        {{"answers", reports.size()},
+         {"store_failing_ms",
+          std::chrono::duration<double, std::milli>{now - *failing_since}
+              .count()}});
+}
+
 bool relay_process::is_ready() const
 {
     if (this->relay.draining || !this->traffic.is_complete())
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -51,6 +51,11 @@
     void on_stop();
     void on_reload();
     void drain();
+    void keep_up();
+
+    /// Asks the engines themselves while the store cannot be read and a zone
+    /// has no pipeline.
+    void survey_if_blind();
 
     const node_settings settings;
     platform_adapter adapter;
@@ -80,7 +85,8 @@
     time_point drain_began{};
     bool accepts = true;
 
-    void keep_up();
+    /// Written by the duties' thread alone.
+    time_point last_survey{};
 };
 
 } // namespace fireflysail
--- a/source/serving/pipeline_router.cpp
+++ b/source/serving/pipeline_router.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 #include <random>
 #include <ranges>
+#include <set>
 
 namespace fireflysail
 {
@@ -290,6 +291,30 @@
         });
 }
 
+bool pipeline_router::covers_every_zone() const
+{
+    const auto now = this->current.load();
+    std::set<zone_id> zones;
+    std::ranges::transform(
+        now->fleet->engines, std::inserter(zones, zones.end()), &engine::zone);
+    std::set<zone_id> covered;
+    for (const auto& [key, set] : now->routes->sets)
+    {
+        for (const pipeline& planned : set->candidates)
+        {
+            const auto first = std::ranges::find(
+                now->fleet->engines,
+                planned.stages.front().server,
+                &engine::id);
+            if (first != now->fleet->engines.end())
+            {
+                covered.insert(first->zone);
+            }
+        }
+    }
+    return zones == covered;
+}
+
 std::vector<std::pair<model_id, std::size_t>>
 pipeline_router::model_slots() const
 {
--- a/source/serving/pipeline_router.hpp
+++ b/source/serving/pipeline_router.hpp
@@ -85,6 +85,9 @@
     /// True when there is a pipeline for each model of the fleet.
     bool covers_all_models() const;
 
+    /// True when each zone with engines has a pipeline that begins there.
+    bool covers_every_zone() const;
+
     /// Streams that the fleet runs at once for each model, from what the
     /// engines report: the least over the model's layers.
     std::vector<std::pair<model_id, std::size_t>> model_slots() const;
--- a/source/store/store_watcher.cpp
+++ b/source/store/store_watcher.cpp
@@ -106,6 +106,11 @@
     return this->answered;
 }
 
+std::optional<time_point> store_watcher::failing_since() const
+{
+    return this->failing;
+}
+
 const store_watcher_counts& store_watcher::counts() const
 {
     return this->counters;
@@ -123,6 +128,7 @@
 void store_watcher::on_failure(time_point now)
 {
     this->counters.failures += 1;
+    this->failing = this->failing.value_or(now);
     this->not_before =
         std::max(this->not_before, now + this->retry.next(this->random));
 }
@@ -130,6 +136,7 @@
 void store_watcher::on_answer(time_point now)
 {
     this->answered = now;
+    this->failing.reset();
     this->retry.reset();
 }
 
--- a/source/store/store_watcher.hpp
+++ b/source/store/store_watcher.hpp
@@ -85,6 +85,9 @@
     /// When the store last answered; none before its first answer.
     std::optional<time_point> last_answer() const;
 
+    /// Since when no call succeeded; none while the last one did.
+    std::optional<time_point> failing_since() const;
+
     const store_watcher_counts& counts() const;
 
 private:
@@ -99,6 +102,7 @@
     bool needs_list = true;
     time_point not_before{};
     std::optional<time_point> answered;
+    std::optional<time_point> failing;
     store_watcher_counts counters;
 };
 
--- a/source/store/watch_hub.cpp
+++ b/source/store/watch_hub.cpp
@@ -162,6 +162,7 @@
     this->published = {
         this->watcher.position(),
         this->watcher.last_answer(),
+        this->watcher.failing_since(),
         this->watcher.counts()};
 }
 
--- a/source/store/watch_hub.hpp
+++ b/source/store/watch_hub.hpp
@@ -34,6 +34,7 @@
 {
     revision position;
     std::optional<time_point> last_answer;
+    std::optional<time_point> failing_since;
     store_watcher_counts counts;
 };
 
