Relay: silence bound learns the usual gap; streams stay within their route's engines

A stream now leaves only where it may go on, and after its last allowed engine it returns to one that it ran on.

--- a/benchmarks/simulation/recovery_world.cpp
+++ b/benchmarks/simulation/recovery_world.cpp
@@ -370,7 +370,7 @@
     {
         this->leave_engines(stream);
         stream.finished = this->loop.now();
-        this->budget.on_success(this->loop.now());
+        this->budget.credit(this->loop.now());
         this->suspicion.on_completed(fingerprint{stream.print});
         return;
     }
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -14,6 +14,9 @@
 /// Largest answer of a plain service that is kept until it is whole.
 constexpr std::size_t most_answer_bytes = std::size_t{8} * 1024 * 1024;
 
+/// Answers from here on say that the server failed.
+constexpr unsigned first_server_error = 500;
+
 /// Servers tried without a request having gone out.
 constexpr std::uint32_t most_unsent = 4;
 
@@ -36,11 +39,6 @@
     answer_facts facts;
 };
 
-bool is_success(unsigned status)
-{
-    return status >= 200 && status < 300;
-}
-
 /// Reads the whole body; false when it broke off or is too large.
 asio::awaitable<bool>
 read_whole_body(backend_connection& connection, std::string& body)
@@ -174,6 +172,9 @@
     std::uint32_t unsent = 0;
     bool refused = false;
     bool may_have_run = false;
+    /// The latest whole answer, kept while another server may do better.
+    std::optional<http_response> answered;
+    budget.credit(relay.time.now());
     while (!served.is_over())
     {
         const auto fleet = relay.board.fleet.load();
@@ -195,12 +196,14 @@
         auto result = co_await attempt_once(served, *server, work);
         if (result.end == attempt_end::answered)
         {
-            if (is_success(result.answer.result_int()))
+            answered = std::move(result.answer);
+            const bool may_improve =
+                work == work_kind::idempotent &&
+                answered->result_int() >= first_server_error;
+            if (!may_improve)
             {
-                budget.on_success(relay.time.now());
+                break;
             }
-            co_await deliver(served, result.answer);
-            co_return;
         }
         excluded.push_back(server->id);
         unsent += result.end == attempt_end::unsent ? 1 : 0;
@@ -211,6 +214,11 @@
             break;
         }
     }
+    if (answered && !served.is_over())
+    {
+        co_await deliver(served, *answered);
+        co_return;
+    }
     const bool promise = !may_have_run;
     if (served.expired)
     {
--- a/source/relay/relay_context.cpp
+++ b/source/relay/relay_context.cpp
@@ -10,6 +10,9 @@
 /// is not known, so it is taken from above.
 constexpr double assumed_instances = 12;
 
+/// Part of the slack that may be spent at one moment: losses come in bursts.
+constexpr double burst_part = 0.75;
+
 /// Part of the allowed share of retries that is used: requests that fail count
 /// for the allowance and not for the budget, so this errs on the safe side.
 constexpr double used_share = 0.9;
@@ -25,14 +28,15 @@
     }
     const service_bounds& bounds = relay.node.bounds;
     const double slack = bounds.retry_slack / assumed_instances;
+    const double most = slack * burst_part;
     const double window =
         std::chrono::duration<double>{bounds.retry_window}.count();
     retry_budget::options chosen;
-    chosen.share_of_successes = bounds.retry_share * used_share;
+    chosen.share_of_requests = bounds.retry_share * used_share;
     // A full bucket and its refill within one window stay within the slack.
-    chosen.refill_per_second = slack / 2 / window;
-    chosen.most = slack / 2;
-    chosen.at_start = slack / 2;
+    chosen.refill_per_second = (slack - most) / window;
+    chosen.most = most;
+    chosen.at_start = most;
     return relay.retry_budgets
         .emplace(service, retry_budget{chosen, relay.time.now()})
         .first->second;
--- a/source/relay/stall_monitor.cpp
+++ b/source/relay/stall_monitor.cpp
@@ -23,7 +23,7 @@
 stall_monitor::run::run(
     stall_monitor& monitor,
     std::uint64_t pipeline,
-    std::function<void()> on_silent)
+    std::function<bool()> on_silent)
     : monitor{monitor}
     , id{monitor.watch.begin(pipeline, monitor.time.now())}
 {
@@ -70,7 +70,10 @@
         {
             const auto on_silent = std::move(found->second);
             this->handlers.erase(found);
-            on_silent();
+            if (!on_silent())
+            {
+                this->handlers.emplace(id, on_silent);
+            }
         }
     }
     if (!this->watch.empty())
--- a/source/relay/stall_monitor.hpp
+++ b/source/relay/stall_monitor.hpp
@@ -26,10 +26,10 @@
     class run
     {
     public:
-        /// `on_silent` is called at most once.
+        /// `on_silent` is called until it returns true.
         run(stall_monitor& monitor,
             std::uint64_t pipeline,
-            std::function<void()> on_silent);
+            std::function<bool()> on_silent);
         ~run();
 
         run(const run&) = delete;
@@ -50,7 +50,7 @@
     asio::steady_timer timer;
     bool scheduled = false;
     pipeline_watch watch;
-    absl::flat_hash_map<run_id, std::function<void()>> handlers;
+    absl::flat_hash_map<run_id, std::function<bool()>> handlers;
 };
 
 } // namespace fireflysail
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -64,10 +64,14 @@
     std::optional<std::uint64_t> last_event;
     int fruitless = 0;
     std::vector<server_id> excluded;
+    /// First engines of the pipelines on which it ran.
+    std::vector<server_id> ran_at;
     bool any_ran = false;
     bool refused = false;
     /// The current run was ended because its pipeline fell silent.
     bool silenced = false;
+    /// The budget was charged for the next attempt already.
+    bool repeat_is_paid = false;
     stall_monitor::run* run = nullptr;
 };
 
@@ -88,14 +92,40 @@
     return wanted;
 }
 
+/// The operators bound the engines that one attempt of a caller runs on; those
+/// that are gone do not count.
+bool may_use_another_engine(const stream_state& state)
+{
+    const auto still_there = std::ranges::count_if(
+        state.ran_at,
+        [&state](const server_id& server)
+        {
+            return !state.served.relay.inquiry.is_lost(server);
+        });
+    return still_there <
+           static_cast<std::ptrdiff_t>(state.served.matched->most_attempts);
+}
+
 route_outcome choose(const stream_state& state)
 {
     route_request wanted = describe(state);
     std::vector<server_id> excluded = state.served.relay.inquiry.avoided();
     excluded.insert(
         excluded.end(), state.excluded.begin(), state.excluded.end());
+    pipeline_router& pipelines = state.served.relay.pipelines;
+    if (!may_use_another_engine(state))
+    {
+        std::ranges::copy_if(
+            pipelines.first_stages(),
+            std::back_inserter(excluded),
+            [&state](const server_id& server)
+            {
+                return std::ranges::find(state.ran_at, server) ==
+                       state.ran_at.end();
+            });
+    }
     wanted.excluded = excluded;
-    return state.served.relay.pipelines.choose(wanted);
+    return pipelines.choose(wanted);
 }
 
 /// Blames the engine that the answer names, or else the one that was asked.
@@ -323,6 +353,25 @@
     }
 }
 
+/// Ends the run if it may go on elsewhere; else it waits for its engines.
+bool leave_silent(stream_state& state, backend_connection& connection)
+{
+    exchange& served = state.served;
+    relay_context& relay = served.relay;
+    // The run in progress counts as well.
+    const bool may_leave =
+        state.ran_at.size() + 1 < served.matched->most_attempts;
+    if (!served.matched->resumable || !may_leave ||
+        !budget_of(relay, served.service).try_take(relay.time.now()))
+    {
+        return false;
+    }
+    state.silenced = true;
+    state.repeat_is_paid = true;
+    connection.close();
+    return true;
+}
+
 asio::awaitable<attempt_end>
 attempt_once(stream_state& state, const routed_pipeline& routed)
 {
@@ -353,14 +402,20 @@
         routed.route.key,
         [&state, connection = taken.connection.get()]
         {
-            state.silenced = true;
-            connection->close();
+            return leave_silent(state, *connection);
         }};
     state.run = &run;
     taken.connection->start_request(make_dispatch(served, facts));
     const auto end = co_await read_stream(state, routed, *taken.connection);
     state.run = nullptr;
     served.current = nullptr;
+    const bool may_have_run =
+        end != attempt_end::refused && end != attempt_end::unsent;
+    if (may_have_run &&
+        std::ranges::find(state.ran_at, first.server) == state.ran_at.end())
+    {
+        state.ran_at.push_back(first.server);
+    }
     if (end == attempt_end::broken && !served.is_over())
     {
         blame(state, routed);
@@ -428,6 +483,7 @@
     relay_context& relay = served.relay;
     stream_state state{served};
     retry_budget& budget = budget_of(relay, served.service);
+    budget.credit(relay.time.now());
     asio::steady_timer pause{relay.executor};
     while (!served.is_over())
     {
@@ -444,15 +500,23 @@
             co_await pause_for(pause, wait_for_pipeline);
             continue;
         }
-        if (served.attempts > 0 && !budget.try_take(relay.time.now()))
+        const bool is_paid = served.attempts == 0 || state.repeat_is_paid ||
+                             budget.try_take(relay.time.now());
+        state.repeat_is_paid = false;
+        if (!is_paid)
         {
+            log::event(
+                log::level::warning,
+                log::channel::routing,
+                "retry_budget_spent",
+                {{"request", served.facts.attempt.str()},
+                 {"attempts", served.attempts}});
             break;
         }
         ++state.fruitless;
         const auto end = co_await attempt_once(state, *routed);
         if (end == attempt_end::whole)
         {
-            budget.on_success(relay.time.now());
             co_await finish(state);
             co_return;
         }
--- a/source/routing/pipeline_watch.cpp
+++ b/source/routing/pipeline_watch.cpp
@@ -5,6 +5,14 @@
 namespace fireflysail
 {
 
+namespace
+{
+
+/// Weight of one gap: a few dozen events of any stream settle it.
+constexpr double gap_smoothing = 0.05;
+
+} // namespace
+
 pipeline_watch::pipeline_watch(const options& chosen)
     : chosen{chosen}
 {
@@ -20,11 +28,34 @@
 void pipeline_watch::on_event(run_id id, time_point now)
 {
     const auto found = this->runs.find(id);
-    if (found != this->runs.end())
+    if (found == this->runs.end())
+    {
+        return;
+    }
+    run& entry = found->second;
+    if (entry.has_events)
+    {
+        const double gap =
+            std::chrono::duration<double>{now - entry.last_event}.count();
+        double& usual = this->usual_gap[entry.pipeline];
+        usual += gap_smoothing * (gap - usual);
+    }
+    entry.last_event = now;
+    entry.has_events = true;
+}
+
+duration
+pipeline_watch::bound_of(std::uint64_t pipeline, duration shortest) const
+{
+    const auto found = this->usual_gap.find(pipeline);
+    if (found == this->usual_gap.end())
     {
-        found->second.last_event = now;
-        found->second.has_events = true;
+        return shortest;
     }
+    return std::max(
+        shortest,
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>{
+            found->second * this->chosen.usual_gaps}));
 }
 
 void pipeline_watch::end(run_id id)
@@ -59,16 +90,17 @@
             of.first_begun = std::min(of.first_begun, entry.last_event);
         }
     }
-    const auto is_silent = [this, now](const summary& of)
+    const auto is_silent =
+        [this, now](std::uint64_t pipeline, const summary& of)
     {
         if (of.going == 0)
         {
             return now - of.first_begun >= this->chosen.first_event_silence;
         }
-        const duration bound = of.going >= this->chosen.crowd
-                                   ? this->chosen.crowd_silence
-                                   : this->chosen.lone_silence;
-        return now - of.last_event >= bound;
+        const duration shortest = of.going >= this->chosen.crowd
+                                      ? this->chosen.crowd_silence
+                                      : this->chosen.lone_silence;
+        return now - of.last_event >= this->bound_of(pipeline, shortest);
     };
     std::vector<run_id> found;
     for (const auto& [id, entry] : this->runs)
@@ -76,7 +108,7 @@
         // A run that has just begun may be on its way.
         const bool waited =
             now - entry.last_event >= this->chosen.crowd_silence;
-        if (waited && is_silent(pipelines.at(entry.pipeline)))
+        if (waited && is_silent(entry.pipeline, pipelines.at(entry.pipeline)))
         {
             found.push_back(id);
         }
--- a/source/routing/pipeline_watch.hpp
+++ b/source/routing/pipeline_watch.hpp
@@ -26,8 +26,11 @@
 public:
     struct options
     {
-        /// Silence of at least `crowd` streams that had been going.
+        /// Silence of at least `crowd` streams that had been going, or this
+        /// many times their usual gap if that is more: a slow engine makes
+        /// every stream slow, and leaving it would only move the load.
         duration crowd_silence = std::chrono::milliseconds{100};
+        double usual_gaps = 2.5;
         std::size_t crowd = 3;
         /// Silence of fewer streams.
         duration lone_silence = std::chrono::milliseconds{350};
@@ -56,8 +59,12 @@
         bool has_events = false;
     };
 
+    duration bound_of(std::uint64_t pipeline, duration shortest) const;
+
     options chosen;
     absl::flat_hash_map<run_id, run> runs;
+    /// Smoothed gap between two events of a stream, by pipeline, in seconds.
+    absl::flat_hash_map<std::uint64_t, double> usual_gap;
     std::uint64_t last_id = 0;
 };
 
--- a/source/routing/retry_budget.cpp
+++ b/source/routing/retry_budget.cpp
@@ -21,10 +21,10 @@
     return std::min(this->chosen.most, this->tokens + refilled);
 }
 
-void retry_budget::on_success(time_point now)
+void retry_budget::credit(time_point now)
 {
     this->tokens = std::min(
-        this->chosen.most, this->left(now) + this->chosen.share_of_successes);
+        this->chosen.most, this->left(now) + this->chosen.share_of_requests);
     this->since = now;
 }
 
--- a/source/routing/retry_budget.hpp
+++ b/source/routing/retry_budget.hpp
@@ -5,7 +5,7 @@
 namespace fireflysail
 {
 
-/// Token bucket that bounds retries and hedges to a share of the successes, so
+/// Token bucket that bounds retries and hedges to a share of the requests, so
 /// that they cannot multiply the load of backend servers that are failing. A
 /// small refill by time lets a quiet instance retry too.
 class retry_budget
@@ -13,7 +13,7 @@
 public:
     struct options
     {
-        double share_of_successes = 0.1;
+        double share_of_requests = 0.1;
         double refill_per_second = 1;
         double most = 100;
         double at_start = 10;
@@ -21,8 +21,8 @@
 
     retry_budget(const options& chosen, time_point now);
 
-    /// Counts a request that succeeded.
-    void on_success(time_point now);
+    /// Counts a request towards the share.
+    void credit(time_point now);
 
     /// Takes one retry; false when the budget is used up.
     bool try_take(time_point now);
--- a/source/serving/completion_job.cpp
+++ b/source/serving/completion_job.cpp
@@ -65,7 +65,7 @@
     {
         this->slot->finish();
         this->crash_run.on_completed();
-        this->used.recoveries.on_success();
+        this->used.recoveries.credit();
     }
     return this->report;
 }
--- a/source/serving/pipeline_router.cpp
+++ b/source/serving/pipeline_router.cpp
@@ -291,6 +291,20 @@
         });
 }
 
+std::vector<server_id> pipeline_router::first_stages() const
+{
+    const auto now = this->current.load();
+    std::vector<server_id> servers;
+    for (const auto& [key, set] : now->routes->sets)
+    {
+        for (const pipeline& planned : set->candidates)
+        {
+            servers.push_back(planned.stages.front().server);
+        }
+    }
+    return servers;
+}
+
 bool pipeline_router::covers_every_zone() const
 {
     const auto now = this->current.load();
--- a/source/serving/pipeline_router.hpp
+++ b/source/serving/pipeline_router.hpp
@@ -85,6 +85,9 @@
     /// True when there is a pipeline for each model of the fleet.
     bool covers_all_models() const;
 
+    /// Engines at which the planned pipelines begin.
+    std::vector<server_id> first_stages() const;
+
     /// True when each zone with engines has a pipeline that begins there.
     bool covers_every_zone() const;
 
--- a/source/serving/recovery_pool.cpp
+++ b/source/serving/recovery_pool.cpp
@@ -24,10 +24,10 @@
         this->time.now());
 }
 
-void recovery_pool::on_success()
+void recovery_pool::credit()
 {
     const absl::MutexLock lock{&this->mutex};
-    this->budget.on_success(this->time.now());
+    this->budget.credit(this->time.now());
 }
 
 } // namespace fireflysail
--- a/source/serving/recovery_pool.hpp
+++ b/source/serving/recovery_pool.hpp
@@ -24,7 +24,7 @@
         const attempt_failure& failure,
         const recovery_view& view);
 
-    void on_success();
+    void credit();
 
 private:
     const clock& time;
--- a/source/serving/service_runner.cpp
+++ b/source/serving/service_runner.cpp
@@ -245,7 +245,7 @@
             const auto result = this->send(call, *to);
             if (const auto* response = std::get_if<service_response>(&result))
             {
-                this->recoveries.on_success();
+                this->recoveries.credit();
                 return *response;
             }
             failure = explain(std::get<service_failure>(result), to->id);
--- a/unit_tests/routing/recovery_test.cpp
+++ b/unit_tests/routing/recovery_test.cpp
@@ -340,7 +340,7 @@
             dispatches_after_arrival += may_have_run ? 1 : 0;
             if (draw() % 4 == 0)
             {
-                this->budget.on_success(this->now);
+                this->budget.credit(this->now);
             }
         }
         if (work == work_kind::non_idempotent)
--- a/unit_tests/routing/retry_budget_test.cpp
+++ b/unit_tests/routing/retry_budget_test.cpp
@@ -17,7 +17,7 @@
     int retries = 0;
     for (int i = 0; i < 1000; ++i)
     {
-        budget.on_success(now);
+        budget.credit(now);
         retries += budget.try_take(now) ? 1 : 0;
     }
     CHECK(retries <= 105);
