Control, relay: requests that crash engines are told to all instances

A run that breaks without any answer is followed by a new connection; where that is refused the content is suspected, not repeated, and told through the store.

--- /dev/null
+++ b/source/control/crash_registry.cpp
@@ -0,0 +1,139 @@
+#include "control/crash_registry.hpp"
+
+#include "common/error.hpp"
+#include "common/log.hpp"
+
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A suspect that did not come again for this long was none: callers resend
+/// within their time limit.
+constexpr duration suspicion_lasts = 12s;
+
+/// Engines come back some seconds after a crash; a request that crashed two
+/// of them stays away long past that.
+constexpr duration first_quarantine = 60s;
+
+constexpr duration store_call_time = 600ms;
+
+crash_suspicion::options chosen_options()
+{
+    crash_suspicion::options chosen;
+    chosen.suspicion_lasts = suspicion_lasts;
+    chosen.first_quarantine = first_quarantine;
+    return chosen;
+}
+
+std::string name_of(fingerprint print)
+{
+    return fmt::format("{:016x}", print.value());
+}
+
+} // namespace
+
+crash_registry::crash_registry(store& objects, const clock& time)
+    : objects{objects}
+    , time{time}
+    , suspicions{chosen_options()}
+{
+}
+
+crash_judgement crash_registry::judge(fingerprint print) const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->suspicions.judge(print, this->time.now());
+}
+
+void crash_registry::on_crash(const server_id& server, fingerprint print)
+{
+    const absl::MutexLock lock{&this->mutex};
+    const std::array in_flight{request_in_flight{print, token_index{}}};
+    const auto verdicts = this->suspicions.on_loss(
+        server, loss_kind::crash, in_flight, this->time.now());
+    this->untold.push_back(print);
+    log::event(
+        log::level::warning,
+        log::channel::routing,
+        "crash_suspected",
+        {{"fingerprint", name_of(print)},
+         {"server", server.str()},
+         {"quarantined", verdicts.front() == crash_verdict::quarantined}});
+}
+
+void crash_registry::publish()
+{
+    std::vector<fingerprint> prints;
+    {
+        const absl::MutexLock lock{&this->mutex};
+        prints.swap(this->untold);
+    }
+    for (const fingerprint print : prints)
+    {
+        const auto told = this->objects.create(
+            {kind, name_of(print)}, "1", this->time.now() + store_call_time);
+        // Another instance may have told of it before.
+        if (!told && told.error() != errc::conflict)
+        {
+            log::event(
+                log::level::warning,
+                log::channel::control,
+                "crash_suspicion_untold",
+                {{"fingerprint", name_of(print)},
+                 {"error", told.error().message()}});
+        }
+    }
+}
+
+std::vector<std::string> crash_registry::kinds() const
+{
+    return {kind};
+}
+
+void crash_registry::on_snapshot(const store_snapshot& snapshot)
+{
+    std::ranges::for_each(
+        snapshot.objects,
+        [this](const stored_object& object)
+        {
+            this->take(object);
+        });
+}
+
+void crash_registry::on_events(const watch_batch& batch)
+{
+    for (const store_event& event : batch.events)
+    {
+        if (event.what == store_event::change::written)
+        {
+            this->take(event.object);
+        }
+    }
+}
+
+void crash_registry::take(const stored_object& object)
+{
+    std::uint64_t number = 0;
+    if (!absl::SimpleHexAtoi(object.key.name, &number))
+    {
+        return;
+    }
+    crash_record record;
+    record.print = fingerprint{number};
+    record.crashes = 1;
+    const absl::MutexLock lock{&this->mutex};
+    this->suspicions.import_record(record, this->time.now());
+}
+
+} // namespace fireflysail
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -55,6 +55,14 @@
     return options;
 }
 
+/// Crashes are rare: long waits keep the calls few.
+store_watcher_options crash_watch_options()
+{
+    store_watcher_options options = watch_options();
+    options.watch_time = 10s;
+    return options;
+}
+
 /// Short, as streams wait for the repair of a pipeline while nobody leads.
 lease_settings placement_lease()
 {
@@ -101,6 +109,13 @@
           this->time,
           watch_options(),
           this->random()}
+    , crashes{this->adapter.objects, this->time}
+    , crashes_watch{
+          this->adapter.objects,
+          {&this->crashes},
+          this->time,
+          crash_watch_options(),
+          this->random()}
     , inquiry{this->board, this->adapter.engines, this->time}
     , layout{this->board, this->adapter.engines, this->inquiry, this->time}
     , duty{
@@ -120,6 +135,11 @@
           {
               this->traffic.expire();
               this->inquiry.ask();
+              // A store that does not answer must not hold up repairs.
+              if (!this->servers_watch.status().failing_since)
+              {
+                  this->crashes.publish();
+              }
               this->traffic.set_lost(this->inquiry.lost());
               this->survey_if_blind();
           }}
@@ -134,6 +154,7 @@
           this->pipelines,
           this->servers,
           this->inquiry,
+          this->crashes,
           this->stalls,
           this->pool,
           this->metrics,
@@ -171,6 +192,7 @@
     this->wait_for_signal();
     this->config_watch.start();
     this->servers_watch.start();
+    this->crashes_watch.start();
     this->duty.start();
     this->keep_up();
     log::event(
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -68,6 +68,8 @@
     traffic_controller traffic;
     watch_hub config_watch;
     watch_hub servers_watch;
+    crash_registry crashes;
+    watch_hub crashes_watch;
     engine_inquiry inquiry;
     layout_controller layout;
     duty_thread duty;
--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "relay/caller_session.hpp"
 
+#include "common/hash.hpp"
 #include "common/log.hpp"
 
 #include <absl/strings/ascii.h>
@@ -62,6 +63,14 @@
     return services.back().service;
 }
 
+fingerprint fingerprint_of(const exchange& served)
+{
+    const auto target = served.request.target();
+    auto hash = stable_hash({target.data(), target.size()});
+    hash = stable_hash(served.facts.key, hash);
+    return fingerprint{stable_hash(served.request.body(), hash)};
+}
+
 own_answer rejection_of(const io_error& error)
 {
     if (error == http::error::header_limit)
@@ -235,6 +244,13 @@
         next.rank = holder->second.rank;
     }
     next.service = draw_service(*next.matched, this->relay.random);
+    next.print = fingerprint_of(next);
+    if (this->relay.crashes.judge(next.print).standing !=
+        crash_standing::normal)
+    {
+        this->relay.metrics.count(request_event::quarantine);
+        return own_answer::quarantined;
+    }
     return std::nullopt;
 }
 
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -25,6 +25,10 @@
 /// Advice to callers whose request found no room.
 constexpr duration retry_after_overload = 500ms;
 
+/// Advice to the caller of a request that is suspected of a crash: the time
+/// until the suspicion has passed.
+constexpr duration retry_after_quarantine = 12s;
+
 /// Advice while the instance reads its first configuration.
 constexpr duration retry_after_start = 500ms;
 
@@ -56,6 +60,7 @@
     case own_answer::not_configured:
     case own_answer::no_backend_server:
     case own_answer::overloaded:
+    case own_answer::quarantined:
     case own_answer::timed_out_unsent:
         return 503;
     case own_answer::unknown_outcome:
@@ -76,6 +81,8 @@
         return retry_after_outage;
     case own_answer::overloaded:
         return retry_after_overload;
+    case own_answer::quarantined:
+        return retry_after_quarantine;
     default:
         return std::nullopt;
     }
@@ -121,6 +128,8 @@
         return "overloaded";
     case own_answer::unknown_outcome:
         return "unknown_outcome";
+    case own_answer::quarantined:
+        return "quarantined";
     case own_answer::timed_out:
         return "timed_out";
     case own_answer::timed_out_unsent:
@@ -209,4 +218,18 @@
     co_return !failed && !served.is_over();
 }
 
+asio::awaitable<bool>
+check_crash(exchange& served, const server_id& server, const endpoint& address)
+{
+    relay_context& relay = served.relay;
+    backend_connection probe{relay.executor, address};
+    const io_error refused = co_await probe.open(connect_limit);
+    if (!refused)
+    {
+        co_return false;
+    }
+    relay.crashes.on_crash(server, served.print);
+    co_return true;
+}
+
 } // namespace fireflysail
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -31,6 +31,8 @@
     overloaded,
     /// It was sent, and whether it ran is not known.
     unknown_outcome,
+    /// Requests with its content crash backend servers.
+    quarantined,
     /// Its time was up after it was sent.
     timed_out,
     /// Its time was up before it was sent.
@@ -62,6 +64,8 @@
     bool expired = false;
     /// The connection to the caller cannot carry another request.
     bool must_close = false;
+    /// Of the content, the same for a resend.
+    fingerprint print;
     /// For the log: the last server and status.
     server_id last_server;
     unsigned last_status = 0;
@@ -93,6 +97,11 @@
 /// could be made: nothing was sent.
 asio::awaitable<bool> ensure_open(exchange& served, backend_pool::taken& taken);
 
+/// After a run that broke without any answer: whether the server is gone, as
+/// told by a new connection. The request is then suspected of the crash.
+asio::awaitable<bool>
+check_crash(exchange& served, const server_id& server, const endpoint& address);
+
 std::string_view name_of(own_answer why);
 
 } // namespace fireflysail
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -2,6 +2,7 @@
 
 #include "blackboard/blackboard.hpp"
 #include "common/clock.hpp"
+#include "control/crash_registry.hpp"
 #include "control/engine_inquiry.hpp"
 #include "metrics/request_metrics.hpp"
 #include "relay/backend_pool.hpp"
@@ -31,6 +32,7 @@
     pipeline_router& pipelines;
     server_balancer& servers;
     engine_inquiry& inquiry;
+    crash_registry& crashes;
     stall_monitor& stalls;
     backend_pool& pool;
     request_metrics& metrics;
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -73,6 +73,10 @@
     /// The budget was charged for the next attempt already.
     bool repeat_is_paid = false;
     stall_monitor::run* run = nullptr;
+    /// The header of the current run's answer arrived.
+    bool answered = false;
+    /// Its last run ended with the crash of its engine.
+    bool suspected = false;
 };
 
 route_request describe(const stream_state& state)
@@ -286,6 +290,7 @@
         state.any_ran = true;
         co_return attempt_end::broken;
     }
+    state.answered = true;
     const auto& header = connection.header();
     const auto facts =
         served.relay.codec.read_answer(header.result_int(), header);
@@ -397,6 +402,7 @@
     const pipeline_router::usage usage{relay.pipelines, routed.route};
     served.current = taken.connection.get();
     state.silenced = false;
+    state.answered = false;
     stall_monitor::run run{
         relay.stalls,
         routed.route.key,
@@ -419,6 +425,12 @@
     if (end == attempt_end::broken && !served.is_over())
     {
         blame(state, routed);
+        const bool no_answer = !state.silenced && !state.answered;
+        if (no_answer)
+        {
+            state.suspected =
+                co_await check_crash(served, first.server, first.address);
+        }
     }
     relay.pool.give_back(std::move(taken.connection));
     co_return end;
@@ -428,7 +440,7 @@
 bool may_go_on(const stream_state& state, attempt_end end)
 {
     const exchange& served = state.served;
-    if (served.is_over() || state.fruitless > most_fruitless)
+    if (served.is_over() || state.suspected || state.fruitless > most_fruitless)
     {
         return false;
     }
