--- a/source/control/engine_control.hpp
+++ b/source/control/engine_control.hpp
@@ -20,7 +20,7 @@
 };
 
 /// What an engine says of itself when asked; some hundred milliseconds old.
-struct engine_report
+struct engine_condition
 {
     std::vector<held_layers> layers;
     /// An order is being carried out.
@@ -76,7 +76,7 @@
 public:
     virtual ~engine_control() = default;
 
-    virtual result<engine_report> status(const engine& server) = 0;
+    virtual result<engine_condition> status(const engine& server) = 0;
 
     virtual order_answer
     place(const engine& server, const placement_order& order) = 0;
--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -87,10 +87,10 @@
     }
 }
 
-std::vector<std::pair<server_id, engine_report>> engine_inquiry::survey()
+std::vector<std::pair<server_id, engine_condition>> engine_inquiry::survey()
 {
     const auto fleet = this->board.fleet.load();
-    std::vector<std::pair<server_id, engine_report>> reports;
+    std::vector<std::pair<server_id, engine_condition>> reports;
     for (const engine& server : fleet->engines)
     {
         if (this->is_lost(server.id))
@@ -108,7 +108,7 @@
 }
 
 void engine_inquiry::settle(
-    const engine& server, const result<engine_report>& answer)
+    const engine& server, const result<engine_condition>& answer)
 {
     if (!answer)
     {
@@ -122,7 +122,7 @@
              {"lost", this->faults.is_confirmed(server.id)}});
         return;
     }
-    const engine_report& report = answer.value();
+    const engine_condition& report = answer.value();
     const bool same_life = report.started_at_ms == 0 ||
                            server.started_at_ms == 0 ||
                            report.started_at_ms == server.started_at_ms;
--- a/source/control/engine_inquiry.hpp
+++ b/source/control/engine_inquiry.hpp
@@ -33,7 +33,7 @@
     void ask();
 
     /// Asks every engine what it holds, suspected or not; those that answer.
-    std::vector<std::pair<server_id, engine_report>> survey();
+    std::vector<std::pair<server_id, engine_condition>> survey();
 
     std::vector<server_id> avoided() const;
 
@@ -45,7 +45,7 @@
     bool has_suspicions() const;
 
 private:
-    void settle(const engine& server, const result<engine_report>& answer);
+    void settle(const engine& server, const result<engine_condition>& answer);
     const engine*
     find(const fleet_snapshot& fleet, const endpoint& address) const;
 
--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -54,7 +54,7 @@
 }
 
 void traffic_controller::observe(
-    const server_id& server, const engine_report& report)
+    const server_id& server, const engine_condition& report)
 {
     const absl::MutexLock lock{&this->mutex};
     if (this->directory.observe(server, report.layers, report.started_at_ms))
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -57,7 +57,7 @@
 
     /// Takes what an engine itself says that it holds, while the store cannot
     /// be asked.
-    void observe(const server_id& server, const engine_report& report);
+    void observe(const server_id& server, const engine_condition& report);
 
     /// True when both were read once.
     bool is_complete() const;
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -37,6 +37,7 @@
     attempt_end end = attempt_end::broken;
     http_response answer;
     answer_facts facts;
+    bool has_header = false;
 };
 
 /// Reads the whole body; false when it broke off or is too large.
@@ -68,6 +69,7 @@
     {
         co_return result;
     }
+    result.has_header = true;
     const auto& header = connection.header();
     result.facts = served.relay.codec.read_answer(header.result_int(), header);
     result.answer.base() = header;
@@ -209,7 +211,14 @@
         unsent += result.end == attempt_end::unsent ? 1 : 0;
         refused = refused || result.end == attempt_end::refused;
         may_have_run = may_have_run || result.end == attempt_end::broken;
-        if (!may_repeat(result.end, work))
+        const bool no_answer =
+            result.end == attempt_end::broken && !result.has_header;
+        bool crashed = false;
+        if (no_answer && !served.is_over())
+        {
+            crashed = co_await check_crash(served, server->id, server->address);
+        }
+        if (crashed || !may_repeat(result.end, work))
         {
             break;
         }
--- /dev/null
+++ b/unit_tests/control/crash_registry_test.cpp
@@ -0,0 +1,61 @@
+#include "control/crash_registry.hpp"
+
+#include "store_model.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const fingerprint poison{0xabcdef};
+
+struct fixture
+{
+    manual_clock time;
+    store_model objects{time};
+    crash_registry here{objects, time};
+    crash_registry there{objects, time};
+
+    /// What the store holds reaches the other instance.
+    void share()
+    {
+        this->here.publish();
+        const auto listed =
+            this->objects.list(this->there.kinds(), this->time.now() + 1s);
+        REQUIRE(listed);
+        this->there.on_snapshot(listed.value());
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    fixture, "a request that crashed a server is suspected at every instance")
+{
+    CHECK(this->here.judge(poison).standing == crash_standing::normal);
+    this->here.on_crash(server_id{"e1"}, poison);
+    CHECK(this->here.judge(poison).standing == crash_standing::suspect);
+    CHECK(this->there.judge(poison).standing == crash_standing::normal);
+    this->share();
+    CHECK(this->there.judge(poison).standing == crash_standing::suspect);
+    CHECK(this->there.judge(fingerprint{1}).standing == crash_standing::normal);
+}
+
+TEST_CASE_METHOD(fixture, "a second crash of another server quarantines it")
+{
+    this->here.on_crash(server_id{"e1"}, poison);
+    this->share();
+    this->time.advance(2s);
+    this->there.on_crash(server_id{"e2"}, poison);
+    CHECK(this->there.judge(poison).standing == crash_standing::quarantined);
+}
+
+TEST_CASE_METHOD(fixture, "a suspicion that nothing renews passes")
+{
+    this->here.on_crash(server_id{"e1"}, poison);
+    this->time.advance(12s);
+    CHECK(this->here.judge(poison).standing == crash_standing::normal);
+}
--- /dev/null
+++ b/unit_tests/control/layout_controller_test.cpp
@@ -0,0 +1,208 @@
+#include "control/layout_controller.hpp"
+
+#include "common/error.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const service_id model{"model"};
+
+/// Engines that take every order, unless told otherwise.
+class obedient_engines final : public engine_control
+{
+public:
+    result<engine_condition> status(const engine& server) override
+    {
+        if (this->dead.contains(server.id))
+        {
+            return errc::unavailable;
+        }
+        engine_condition report;
+        report.orders_accepted = this->orders_before;
+        return report;
+    }
+
+    order_answer
+    place(const engine& server, const placement_order& order) override
+    {
+        this->ordered.emplace_back(server.id, order);
+        return this->answer;
+    }
+
+    std::vector<std::pair<server_id, placement_order>> ordered;
+    std::map<server_id, bool> dead;
+    std::uint64_t orders_before = 3;
+    order_answer answer = order_answer::accepted;
+};
+
+engine make(const char* id)
+{
+    engine server;
+    server.id = server_id{id};
+    server.zone = zone_id{"a"};
+    server.service = model;
+    server.memory = byte_count{6000};
+    return server;
+}
+
+struct fixture
+{
+    fixture()
+    {
+        auto config = std::make_shared<traffic_config>();
+        service_profile profile;
+        profile.id = model;
+        profile.engines = engine_profile{};
+        profile.engines->layers = 8;
+        profile.engines->layer_size = byte_count{1000};
+        profile.engines->load_time = 8s;
+        config->services.emplace(model, profile);
+        this->board.traffic.publish(std::move(config));
+        this->publish({make("e1"), make("e2"), make("e3")});
+    }
+
+    void publish(std::vector<engine> engines)
+    {
+        auto fleet = std::make_shared<fleet_snapshot>();
+        fleet->engines = std::move(engines);
+        this->board.fleet.publish(std::move(fleet));
+    }
+
+    bool step()
+    {
+        return this->layout.step(
+            {fencing_number{7}, {}, {}},
+            [this]
+            {
+                return this->leads;
+            });
+    }
+
+    /// What the engines were told shows in the fleet.
+    void carry_out()
+    {
+        auto fleet = *this->board.fleet.load();
+        for (const auto& [id, order] : this->engines.ordered)
+        {
+            const auto found =
+                std::ranges::find(fleet.engines, id, &engine::id);
+            if (found != fleet.engines.end())
+            {
+                found->holdings = {
+                    {model_id{"model"}, model_version{"1"}, order.layers, {}}};
+            }
+        }
+        this->publish(fleet.engines);
+    }
+
+    blackboard board;
+    manual_clock time;
+    obedient_engines engines;
+    engine_inquiry inquiry{board, engines, time};
+    layout_controller layout{board, engines, inquiry, time};
+    bool leads = true;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(fixture, "the first layout waits until the fleet has settled")
+{
+    CHECK(this->step());
+    CHECK(this->engines.ordered.empty());
+    this->time.advance(600ms);
+    CHECK(this->step());
+    CHECK(this->engines.ordered.size() == 3);
+}
+
+TEST_CASE_METHOD(fixture, "orders carry the fence and the orders before them")
+{
+    this->step();
+    this->time.advance(600ms);
+    this->step();
+    REQUIRE_FALSE(this->engines.ordered.empty());
+    const auto& order = this->engines.ordered.front().second;
+    CHECK(order.fence == fencing_number{7});
+    CHECK(order.orders_before == 3);
+    CHECK(order.mode == release_mode::finish_running);
+}
+
+TEST_CASE_METHOD(fixture, "an order is not repeated while its load may go on")
+{
+    this->step();
+    this->time.advance(600ms);
+    this->step();
+    this->time.advance(1s);
+    this->step();
+    CHECK(this->engines.ordered.size() == 3);
+    this->carry_out();
+    this->time.advance(1min);
+    this->step();
+    CHECK(this->engines.ordered.size() == 3);
+}
+
+TEST_CASE_METHOD(fixture, "an order that was refused for now is tried again")
+{
+    this->engines.answer = order_answer::conflict;
+    this->step();
+    this->time.advance(600ms);
+    this->step();
+    const auto before = this->engines.ordered.size();
+    this->step();
+    CHECK(this->engines.ordered.size() == before);
+    this->engines.answer = order_answer::accepted;
+    this->time.advance(500ms);
+    this->step();
+    CHECK(this->engines.ordered.size() == before + 3);
+}
+
+TEST_CASE_METHOD(fixture, "a refused fence ends the duty")
+{
+    this->engines.answer = order_answer::fenced;
+    this->step();
+    this->time.advance(600ms);
+    CHECK_FALSE(this->step());
+    CHECK(this->engines.ordered.size() == 1);
+}
+
+TEST_CASE_METHOD(fixture, "nothing is ordered once another leads")
+{
+    this->leads = false;
+    this->step();
+    this->time.advance(600ms);
+    CHECK(this->step());
+    CHECK(this->engines.ordered.empty());
+}
+
+TEST_CASE_METHOD(
+    fixture, "layers of an engine that does not answer go to its neighbours")
+{
+    this->step();
+    this->time.advance(600ms);
+    this->step();
+    this->carry_out();
+    this->engines.ordered.clear();
+    this->engines.dead[server_id{"e2"}] = true;
+    this->inquiry.report(server_id{"e2"}, engine_fault::unreachable);
+    this->inquiry.ask();
+    this->step();
+    CHECK(this->engines.ordered.empty());
+    this->time.advance(400ms);
+    this->inquiry.ask();
+    CHECK(this->inquiry.lost() == std::vector{server_id{"e2"}});
+    this->step();
+    CHECK_FALSE(this->engines.ordered.empty());
+    CHECK(std::ranges::none_of(
+        this->engines.ordered,
+        [](const auto& item)
+        {
+            return item.first == server_id{"e2"};
+        }));
+}
--- a/unit_tests/control/leader_lease_test.cpp
+++ b/unit_tests/control/leader_lease_test.cpp
@@ -287,3 +287,19 @@
     CHECK(made(store_call::get) <= 1201);
     CHECK(made(store_call::create) == 0);
 }
+
+TEST_CASE_METHOD(
+    fixture, "the latest leadership outlives its lease until another is seen")
+{
+    this->run(this->a, 20s);
+    REQUIRE(this->a.leads());
+    const auto fence = this->a.keeper.held()->fence;
+    this->time.advance(30s);
+    CHECK_FALSE(this->a.leads());
+    REQUIRE(this->a.keeper.latest());
+    CHECK(this->a.keeper.latest()->fence == fence);
+    this->run(this->b, 30s);
+    REQUIRE(this->b.leads());
+    this->a.keeper.step();
+    CHECK_FALSE(this->a.keeper.latest());
+}
--- /dev/null
+++ b/unit_tests/control/server_directory_test.cpp
@@ -0,0 +1,80 @@
+#include "control/server_directory.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point start{1h};
+
+server_entry make(const std::string& id)
+{
+    server_entry entry;
+    entry.id = server_id{id};
+    return entry;
+}
+
+std::vector<server_id> ids(const server_directory& directory)
+{
+    std::vector<server_id> found;
+    for (const server_entry& entry : directory.entries())
+    {
+        found.push_back(entry.id);
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("an entry that is removed while the store answers is gone at once")
+{
+    server_directory directory;
+    directory.on_contact(start);
+    directory.replace_all({make("a"), make("b")}, start);
+    directory.on_contact(start + 1s);
+    directory.remove(server_id{"a"}, start + 1s);
+    CHECK(ids(directory) == std::vector{server_id{"b"}});
+}
+
+TEST_CASE("entries that lapsed in an outage are kept until they can be back")
+{
+    server_directory directory;
+    directory.on_contact(start);
+    directory.replace_all({make("a"), make("b")}, start);
+    const time_point back = start + 8s;
+    directory.on_contact(back);
+    directory.replace_all({}, back);
+    CHECK(ids(directory).size() == 2);
+    directory.put(make("b"));
+    CHECK(directory.next_expiry() == back + 1900ms);
+    CHECK_FALSE(directory.expire(back + 1800ms));
+    CHECK(directory.expire(back + 1900ms));
+    CHECK(ids(directory) == std::vector{server_id{"b"}});
+    CHECK_FALSE(directory.next_expiry());
+}
+
+TEST_CASE("a removal long after an outage is believed at once")
+{
+    server_directory directory;
+    directory.on_contact(start);
+    directory.replace_all({make("a")}, start);
+    directory.on_contact(start + 8s);
+    directory.on_contact(start + 10s);
+    directory.remove(server_id{"a"}, start + 10s);
+    CHECK(directory.entries().empty());
+}
+
+TEST_CASE("what an engine says of itself replaces what is listed")
+{
+    server_directory directory;
+    directory.replace_all({make("a")}, start);
+    const std::vector<held_layers> layers{
+        {{layer_index{0}, layer_index{5}}, model_version{"1"}}};
+    CHECK(directory.observe(server_id{"a"}, layers, 7));
+    CHECK_FALSE(directory.observe(server_id{"a"}, layers, 7));
+    CHECK_FALSE(directory.observe(server_id{"unknown"}, layers, 7));
+    CHECK(directory.entries().front().layers == layers);
+}
--- /dev/null
+++ b/unit_tests/control/traffic_controller_test.cpp
@@ -0,0 +1,153 @@
+#include "control/traffic_controller.hpp"
+
+#include "common/error.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Values are written as "VERSION" for configurations and "SERVICE" for
+/// servers; anything else does not decode.
+traffic_objects simple_objects()
+{
+    return {
+        "config",
+        "main",
+        "servers",
+        [](std::string_view text) -> result<traffic_config>
+        {
+            if (text.empty() || !std::isdigit(text.front()))
+            {
+                return errc::malformed;
+            }
+            traffic_config config;
+            config.version = std::stoull(std::string{text});
+            service_profile plain;
+            plain.id = service_id{"desk"};
+            config.services.emplace(plain.id, plain);
+            service_profile model;
+            model.id = service_id{"model"};
+            model.engines = engine_profile{};
+            model.engines->layers = 80;
+            model.engines->step_time = 1ms;
+            model.engines->accelerators = {
+                {accelerator_kind{"t4"}, byte_count{100}, 15.0, 15.0}};
+            config.services.emplace(model.id, model);
+            return config;
+        },
+        [](const server_id& id, std::string_view text) -> result<server_entry>
+        {
+            if (text == "broken")
+            {
+                return errc::malformed;
+            }
+            server_entry entry;
+            entry.id = id;
+            entry.service = service_id{std::string{text}};
+            entry.kind = accelerator_kind{"t4"};
+            entry.layers = {
+                {{layer_index{0}, layer_index{8}}, model_version{"1"}}};
+            return entry;
+        }};
+}
+
+stored_object
+make(const char* kind, const char* name, const char* value, int version)
+{
+    return {{kind, name}, value, revision{static_cast<std::uint64_t>(version)}};
+}
+
+struct fixture
+{
+    blackboard board;
+    manual_clock time;
+    int published = 0;
+    traffic_controller traffic{
+        board,
+        simple_objects(),
+        time,
+        [this]
+        {
+            ++this->published;
+        }};
+
+    void config(const char* value, int version)
+    {
+        this->traffic.config_consumer().on_snapshot(
+            {revision{1}, {make("config", "main", value, version)}});
+    }
+
+    void servers(std::vector<stored_object> objects)
+    {
+        this->traffic.servers_consumer().on_snapshot(
+            {revision{1}, std::move(objects)});
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(fixture, "the fleet needs a configuration and the servers")
+{
+    CHECK_FALSE(this->traffic.is_complete());
+    this->servers({make("servers", "e1", "model", 1)});
+    CHECK(this->published == 0);
+    this->config("2", 1);
+    CHECK(this->traffic.is_complete());
+    const auto fleet = this->board.fleet.load();
+    REQUIRE(fleet->engines.size() == 1);
+    CHECK(fleet->engines.front().load.step_time == 1500us);
+    CHECK(fleet->models.front().keep_in_zone);
+}
+
+TEST_CASE_METHOD(fixture, "a configuration never goes back")
+{
+    this->config("5", 9);
+    this->config("4", 10);
+    CHECK(this->board.traffic.load()->version == 5);
+    this->traffic.config_consumer().on_events(
+        {revision{12},
+         {{store_event::change::written, make("config", "main", "6", 11)},
+          {store_event::change::written, make("config", "main", "7", 12)}}});
+    CHECK(this->board.traffic.load()->version == 7);
+}
+
+TEST_CASE_METHOD(fixture, "a configuration that is malformed changes nothing")
+{
+    this->config("5", 9);
+    this->config("broken", 10);
+    CHECK(this->board.traffic.load()->version == 5);
+}
+
+TEST_CASE_METHOD(
+    fixture, "an unreadable entry names no server and harms no other")
+{
+    this->config("1", 1);
+    this->servers(
+        {make("servers", "s1", "desk", 1),
+         make("servers", "s2", "broken", 1),
+         make("servers", "s3", "unknown", 1)});
+    CHECK(this->board.fleet.load()->services.size() == 1);
+    this->traffic.servers_consumer().on_events(
+        {revision{2},
+         {{store_event::change::written, make("servers", "s1", "broken", 2)}}});
+    CHECK(this->board.fleet.load()->services.empty());
+}
+
+TEST_CASE_METHOD(fixture, "engines that do not answer are not healthy")
+{
+    this->config("1", 1);
+    this->servers({make("servers", "e1", "model", 1)});
+    this->traffic.set_lost({server_id{"e1"}});
+    CHECK_FALSE(this->board.fleet.load()->engines.front().healthy);
+    const int before = this->published;
+    this->traffic.set_lost({server_id{"e1"}});
+    CHECK(this->published == before);
+    this->traffic.set_lost({});
+    CHECK(this->board.fleet.load()->engines.front().healthy);
+}
--- /dev/null
+++ b/unit_tests/platform/config_codec_test.cpp
@@ -0,0 +1,99 @@
+#include "common/error.hpp"
+#include "platform/config_codec.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fireflysail;
+using namespace fireflysail::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto whole_config = R"({
+"Version": 7,
+"Routes": [
+ {"Name": "r1", "Host": "Shop.Example", "PathPrefix": "/a/", "Kind": "streaming",
+  "TimeoutMs": 20000, "GoalMs": 500, "Priority": 1, "MaxAttempts": 2,
+  "Backends": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}],
+  "Resumable": true, "Sticky": true, "GapTargetMs": 200},
+ {"Name": "r2", "Host": "shop.example", "PathPrefix": "/a/b/", "Kind": "unsafe",
+  "TimeoutMs": 1200, "Service": "s2", "Public": true},
+ {"Name": "r3", "Host": "shop.example", "PathPrefix": "/c/", "Kind": "new"}],
+"Services": [
+ {"Name": "s1", "HealthPath": "/health", "MaxConns": 978, "Engine": {
+   "Slots": 192, "KvTokenBytes": 426000, "step_ms": 0.85, "per_seq_ms": 0.00276,
+   "read_per_s": 272000.0, "loads_at_once": 6, "Layers": 80, "LayerMb": 1750.0,
+   "ActBytes": 21300, "usual": {"prompt": 772, "answer": 150},
+   "Models": [{"Name": "m", "LoadS": 14.0}],
+   "delays": [{"From": "a", "Target": "b", "delay_ms": 0.42}],
+   "Kinds": [{"Name": "t4", "Mb": 14400.0, "pace": 15.0, "ReadX": 14.0}]}},
+ {"Name": "s2", "HealthPath": "/health", "MaxConns": 110}],
+"Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304,
+           "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+"Tenants": [{"Name": "w1", "ApiKeys": ["k1", "k2"], "Priority": 1},
+            {"Name": "w2", "ApiKeys": ["k3"]}]})";
+
+} // namespace
+
+TEST_CASE("a configuration becomes typed routes, the longest prefix first")
+{
+    const auto config = decode_config(whole_config).value();
+    CHECK(config.version == 7);
+    const route* stream = find_route(config, "shop.example", "/a/x");
+    REQUIRE(stream != nullptr);
+    CHECK(stream->kind == route_kind::stream);
+    CHECK(stream->timeout == 20s);
+    CHECK(stream->gap_objective == 200ms);
+    CHECK(stream->most_attempts == 2);
+    CHECK(stream->resumable);
+    CHECK(stream->services.size() == 2);
+    CHECK(stream->services.front() == weighted_service{service_id{"s1"}, 90});
+    const route* plain = find_route(config, "shop.example", "/a/b/x");
+    REQUIRE(plain != nullptr);
+    CHECK(plain->name == "r2");
+    CHECK(plain->kind == route_kind::non_idempotent);
+    CHECK_FALSE(plain->needs_key);
+    CHECK(plain->most_attempts == 1);
+    CHECK(find_route(config, "shop.example", "/b/") == nullptr);
+    CHECK(find_route(config, "other.example", "/a/") == nullptr);
+}
+
+TEST_CASE("a route of an unknown kind is left out")
+{
+    const auto config = decode_config(whole_config).value();
+    CHECK(find_route(config, "shop.example", "/c/x") == nullptr);
+}
+
+TEST_CASE("a configuration tells model engines from plain services")
+{
+    const auto config = decode_config(whole_config).value();
+    CHECK_FALSE(config.services.at(service_id{"s2"}).engines);
+    const auto& engines = config.services.at(service_id{"s1"}).engines;
+    REQUIRE(engines);
+    CHECK(engines->layers == 80);
+    CHECK(engines->load_time == 14s);
+    CHECK(engines->loads_at_once == 6);
+    CHECK(engines->mean_output_tokens == 150);
+    CHECK(engines->accelerators.front().step_factor == 15.0);
+    CHECK(engines->accelerators.front().prefill_factor == 14.0);
+    CHECK(engines->links.front().delay == 420us);
+}
+
+TEST_CASE("a configuration names the workspace of each key")
+{
+    const auto config = decode_config(whole_config).value();
+    CHECK(config.has_workspaces);
+    CHECK(config.keys.at("k2").workspace == workspace_id{"w1"});
+    CHECK(config.keys.at("k2").rank == 1U);
+    CHECK_FALSE(config.keys.at("k3").rank);
+    CHECK(config.limits.idle_time == 15s);
+    CHECK(config.limits.body == byte_count{4194304});
+}
+
+TEST_CASE("a configuration without a version is malformed")
+{
+    CHECK(decode_config("{}").error() == errc::malformed);
+    CHECK(decode_config("no json").error() == errc::malformed);
+    CHECK(decode_config(R"({"Version": "7"})").error() == errc::malformed);
+}
--- /dev/null
+++ b/unit_tests/platform/header_codec_test.cpp
@@ -0,0 +1,129 @@
+#include "platform/header_codec.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fireflysail;
+using namespace fireflysail::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const header_codec codec;
+
+std::string text_of(const http_fields& header, const char* name)
+{
+    const auto value = header[name];
+    return {value.data(), value.size()};
+}
+
+} // namespace
+
+TEST_CASE("a request's header is read into facts")
+{
+    http_fields header;
+    header.set("X-Fireflysail-Attempt-Id", "9c41");
+    header.set("X-Fireflysail-Deadline-Ms", "1500");
+    header.set("X-Fireflysail-Token-Counts", "1460,80");
+    header.set("X-Fireflysail-Prompt-Prefix", "5c1e:800,91bd:410,e440:250");
+    header.set("X-Fireflysail-Length-Hint", "60");
+    header.set("Last-Event-Id", "12");
+    header.set("Authorization", "Bearer secret");
+    const auto facts = codec.read_request(header);
+    CHECK(facts.attempt == attempt_id{"9c41"});
+    CHECK(facts.time_limit == duration{1500ms});
+    CHECK(facts.prompt_tokens == 1460);
+    CHECK(facts.most_output_tokens == 80);
+    CHECK(facts.expected_output_tokens == 60U);
+    CHECK(facts.shared_prefix != 0);
+    CHECK(facts.shared_prefix_tokens == 1210);
+    CHECK(facts.last_event == 12U);
+    CHECK(facts.key == "secret");
+}
+
+TEST_CASE("missing and broken fields of a request are absent facts")
+{
+    http_fields header;
+    header.set("X-Fireflysail-Deadline-Ms", "soon");
+    header.set("X-Fireflysail-Token-Counts", "x");
+    header.set("Authorization", "Basic secret");
+    const auto facts = codec.read_request(header);
+    CHECK_FALSE(facts.time_limit);
+    CHECK(facts.prompt_tokens == 0);
+    CHECK_FALSE(facts.last_event);
+    CHECK(facts.key.empty());
+}
+
+TEST_CASE("a dispatch replaces what the caller set in our fields")
+{
+    http_fields header;
+    header.set("Authorization", "Bearer secret");
+    header.set("X-Fireflysail-Tenant", "forged");
+    header.set("X-Fireflysail-Hop-Count", "forged");
+    header.set("X-Fireflysail-Request-Priority", "0");
+    header.set("X-Fireflysail-Model", "kept");
+    dispatch_facts facts;
+    facts.time_left = 1400ms;
+    facts.server = server_id{"i-7"};
+    facts.workspace = workspace_id{"w1"};
+    facts.stages = {
+        {server_id{"i-7"}, {"10.0.0.1", 80}, {layer_index{0}, layer_index{20}}},
+        {server_id{"i-8"},
+         {"10.0.0.2", 80},
+         {layer_index{20}, layer_index{80}}}};
+    facts.last_event = 12;
+    codec.write_dispatch(header, facts);
+    CHECK(header.count("Authorization") == 0);
+    CHECK(text_of(header, "X-Fireflysail-Tenant") == "w1");
+    CHECK(
+        text_of(header, "X-Fireflysail-Hop-Count") ==
+        "10.0.0.1:80=0-20,10.0.0.2:80=20-80");
+    CHECK(header.count("X-Fireflysail-Request-Priority") == 0);
+    CHECK(text_of(header, "X-Fireflysail-Expect-Instance") == "i-7");
+    CHECK(text_of(header, "X-Fireflysail-Deadline-Ms") == "1400");
+    CHECK(text_of(header, "Last-Event-Id") == "12");
+    CHECK(text_of(header, "X-Fireflysail-Model") == "kept");
+}
+
+TEST_CASE("a plain dispatch names no pipeline and no workspace")
+{
+    http_fields header;
+    header.set("X-Fireflysail-Tenant", "forged");
+    codec.write_dispatch(header, {1s, server_id{"i-7"}, {}, {}, {}, {}});
+    CHECK(header.count("X-Fireflysail-Hop-Count") == 0);
+    CHECK(header.count("X-Fireflysail-Tenant") == 0);
+    CHECK(header.count("Last-Event-Id") == 0);
+}
+
+TEST_CASE("an answer says whether the request ran and who failed it")
+{
+    http_fields header;
+    header.set("X-Fireflysail-Attempt-Id", "9c41");
+    header.set("X-Fireflysail-Not-Executed", "1");
+    header.set("At-Server", "10.0.0.2:80");
+    header.set("X-Fireflysail-Server-Load", "3,1,8");
+    header.set("Keep-Alive", "max=5, timeout=7");
+    const auto refused = codec.read_answer(503, header);
+    CHECK(refused.not_run);
+    CHECK_FALSE(refused.other_server);
+    CHECK_FALSE(refused.stamped);
+    CHECK(refused.failed_server == endpoint{"10.0.0.2", 80});
+    REQUIRE(refused.load);
+    CHECK(refused.load->waiting == 1);
+    CHECK(refused.keep_alive == duration{7s});
+    const auto misdirected = codec.read_answer(421, {});
+    CHECK(misdirected.not_run);
+    CHECK(misdirected.other_server);
+    CHECK_FALSE(codec.read_answer(503, {}).not_run);
+}
+
+TEST_CASE("advice to come back is given in seconds with fractions")
+{
+    http_fields header;
+    codec.write_own_answer(header, attempt_id{"9c41"}, duration{1500ms});
+    CHECK(text_of(header, "Retry-After") == "1.50");
+    CHECK(text_of(header, "X-Fireflysail-Attempt-Id") == "9c41");
+    http_fields plain;
+    codec.write_own_answer(plain, {}, std::nullopt);
+    CHECK(plain.begin() == plain.end());
+}
--- /dev/null
+++ b/unit_tests/platform/node_file_test.cpp
@@ -0,0 +1,92 @@
+#include "platform/node_file.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace fireflysail;
+using namespace fireflysail::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto whole_file = R"(
+Node = "edge-a-1"
+Zone = "zone-a"
+Region = "south"
+Seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
+BeatIntervalMs = 1200
+NewField = "passed over"
+[Listen]
+Front = "10.1.0.40:8227"
+Ready = "10.1.0.40:8220"
+Control = "10.1.0.40:8229"
+[Limits]
+MemoryMb = 260
+MaxFds = 4100
+[Bounds]
+DrainMs = 2000
+GraceS = 8
+RetryBudgetRatio = 0.2
+BudgetSlack = 202
+stall_ms = 2000
+[Platform]
+Address = "10.200.1.7:8223"
+WritesPerS = 400
+ReadsPerS = 2000
+)";
+
+std::vector<std::string> paths_at_fault(const node_file_outcome& outcome)
+{
+    std::vector<std::string> paths;
+    std::ranges::transform(
+        std::get<std::vector<settings_mistake>>(outcome),
+        std::back_inserter(paths),
+        &settings_mistake::path);
+    return paths;
+}
+
+} // namespace
+
+TEST_CASE("a node file becomes typed settings")
+{
+    const auto outcome = parse_node_file(whole_file);
+    const auto& node = std::get<node_settings>(outcome);
+    CHECK(node.self == instance_id{"edge-a-1"});
+    CHECK(node.zone == zone_id{"zone-a"});
+    CHECK(node.callers == endpoint{"10.1.0.40", 8227});
+    CHECK(node.store == endpoint{"10.200.1.7", 8223});
+    CHECK(node.descriptors == 4100);
+    CHECK(node.memory == byte_count{260ULL * 1024 * 1024});
+    CHECK(node.bounds.drain == 2s);
+    CHECK(node.bounds.stop_grace == 8s);
+    CHECK(node.bounds.retry_slack == 202);
+    CHECK(node.bounds.stage_stall == 2s);
+    CHECK(node.rates.writes == 400);
+    CHECK(node.seeds.size() == 2);
+}
+
+TEST_CASE("every mistake of a node file is reported with its path")
+{
+    const auto outcome = parse_node_file(
+        "Zone = \"a\"\nRegion = 5\n[Listen]\nFront = \"nowhere\"\n"
+        "Ready = \"10.0.0.1:99999\"\nControl = \"10.0.0.1:80\"\n"
+        "[Platform]\nAddress = \"10.0.0.2:80\"\n[Bounds]\nGraceS = -1\n");
+    CHECK(
+        paths_at_fault(outcome) ==
+        std::vector<std::string>{
+            "Node", "Region", "Listen.Front", "Listen.Ready", "Bounds.GraceS"});
+}
+
+TEST_CASE("a text that is no TOML is one mistake")
+{
+    CHECK(paths_at_fault(parse_node_file("[[[")).size() == 1);
+}
+
+TEST_CASE("a node file that cannot be read is a mistake with its path")
+{
+    CHECK(
+        paths_at_fault(load_node_file("/does/not/exist")) ==
+        std::vector<std::string>{"/does/not/exist"});
+}
--- /dev/null
+++ b/unit_tests/relay/relay_fixture.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "platform/header_codec.hpp"
+#include "relay/caller_session.hpp"
+#include "relay/scripted_server.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// Engines that are not asked anything.
+class silent_engines final : public engine_control
+{
+public:
+    result<engine_condition> status(const engine& server) override;
+
+    order_answer
+    place(const engine& server, const placement_order& order) override;
+};
+
+/// What a caller got: the parsed answer, or nothing if it broke off.
+struct received_answer
+{
+    bool whole = false;
+    unsigned status = 0;
+    http_fields header;
+    std::string body;
+};
+
+/// A relay for one caller, before scripted servers.
+class relay_fixture
+{
+public:
+    relay_fixture();
+
+    scripted_server& add_desk(const std::string& id, scripted_server::script);
+
+    /// An engine that holds the whole model, in a zone of its own.
+    scripted_server& add_engine(const std::string& id, scripted_server::script);
+
+    /// Sends the requests on one connection, one after the other.
+    std::vector<received_answer> ask(const std::vector<std::string>& requests);
+
+    static std::string
+    get(const std::string& path, const std::string& more_fields = {});
+
+    asio::io_context io{1};
+    system_clock time;
+    node_settings node;
+    blackboard board;
+    silent_engines engines;
+    std::shared_ptr<traffic_config> config;
+
+private:
+    void publish();
+
+    platform::header_codec codec;
+    fleet_snapshot fleet;
+    std::vector<std::unique_ptr<scripted_server>> servers;
+};
+
+} // namespace fireflysail
--- /dev/null
+++ b/unit_tests/relay/scripted_server.cpp
@@ -0,0 +1,134 @@
+#include "relay/scripted_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+constexpr std::string_view stamped_fields =
+    "X-Fireflysail-Attempt-Id: ID\r\nX-Fireflysail-Server-Stamp: stamp\r\n";
+
+std::string with_attempt(std::string bytes, const http_request& request)
+{
+    const auto id = request["X-Fireflysail-Attempt-Id"];
+    const auto at = bytes.find("ID\r\n");
+    if (at != std::string::npos)
+    {
+        bytes.replace(at, 2, std::string{id.data(), id.size()});
+    }
+    return bytes;
+}
+
+} // namespace
+
+scripted_server::scripted_server(asio::io_context& io, script answers)
+    : io{io}
+    , answers{std::move(answers)}
+    , acceptor{io, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}}
+{
+    asio::co_spawn(io, this->accept(), asio::detached);
+}
+
+endpoint scripted_server::address() const
+{
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+}
+
+void scripted_server::stop()
+{
+    io_error ignored;
+    ignore(this->acceptor.close(ignored));
+    for (tcp::socket* socket : this->open)
+    {
+        close_quietly(*socket);
+    }
+}
+
+asio::awaitable<void> scripted_server::accept()
+{
+    while (true)
+    {
+        auto [error, accepted] =
+            co_await this->acceptor.async_accept(as_result);
+        if (error)
+        {
+            co_return;
+        }
+        asio::co_spawn(
+            this->io, this->serve(std::move(accepted)), asio::detached);
+    }
+}
+
+asio::awaitable<void> scripted_server::serve(tcp::socket accepted)
+{
+    tcp::socket socket = std::move(accepted);
+    this->open.push_back(&socket);
+    beast::flat_buffer buffer;
+    while (true)
+    {
+        http_request request;
+        const auto [unread, read_bytes] =
+            co_await http::async_read(socket, buffer, request, as_result);
+        if (unread)
+        {
+            break;
+        }
+        const auto number = this->received.size();
+        this->received.push_back(request);
+        const scripted_answer answer = this->answers(number, request);
+        const std::string bytes = with_attempt(answer.bytes, request);
+        const auto [unwritten, written_bytes] =
+            co_await asio::async_write(socket, asio::buffer(bytes), as_result);
+        if (unwritten || answer.closes)
+        {
+            break;
+        }
+    }
+    std::erase(this->open, &socket);
+}
+
+scripted_answer whole_answer(int status, const std::string& body)
+{
+    return {fmt::format(
+        "HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}",
+        status,
+        stamped_fields,
+        body.size(),
+        body)};
+}
+
+scripted_answer refusal(const std::string& more_fields)
+{
+    return {
+        "HTTP/1.1 503 X\r\nX-Fireflysail-Attempt-Id: ID\r\n"
+        "X-Fireflysail-Not-Executed: 1\r\n" +
+        more_fields + "Content-Length: 0\r\n\r\n"};
+}
+
+scripted_answer events(int first, int last, bool ends)
+{
+    std::string bytes = fmt::format(
+        "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        stamped_fields);
+    for (int id = first; id <= last; ++id)
+    {
+        const std::string event = fmt::format("id: {}\ndata: x\n\n", id);
+        bytes += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+    }
+    if (ends)
+    {
+        bytes += "0\r\n\r\n";
+    }
+    return {bytes, !ends, false};
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/unit_tests/relay/scripted_server.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "blackboard/fleet.hpp"
+#include "relay/backend_connection.hpp"
+#include "relay/io.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// What a scripted server does with one request.
+struct scripted_answer
+{
+    /// Bytes as they are sent; the word ID stands for the request's attempt.
+    std::string bytes;
+    /// The connection ends after the bytes.
+    bool closes = false;
+    /// The bytes are sent, and then nothing for good.
+    bool hangs = false;
+};
+
+/// A backend server on loopback that answers by a script, in the io_context of
+/// the test.
+class scripted_server
+{
+public:
+    using script =
+        std::function<scripted_answer(std::size_t, const http_request&)>;
+
+    /// `answers` is asked with the number of the request, from 0.
+    scripted_server(asio::io_context& io, script answers);
+
+    endpoint address() const;
+
+    /// Accepts no further connection, and cuts those there are.
+    void stop();
+
+    std::vector<http_request> received;
+
+private:
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(tcp::socket accepted);
+
+    asio::io_context& io;
+    script answers;
+    tcp::acceptor acceptor;
+    std::vector<tcp::socket*> open;
+};
+
+/// A whole answer with a body, stamped by the server.
+scripted_answer whole_answer(int status, const std::string& body);
+
+/// States that the request did not run.
+scripted_answer refusal(const std::string& more_fields = {});
+
+/// Events with these ids; `ends` tells whether the stream is finished.
+scripted_answer events(int first, int last, bool ends);
+
+} // namespace fireflysail
--- /dev/null
+++ b/unit_tests/routing/engine_faults_test.cpp
@@ -0,0 +1,88 @@
+#include "routing/engine_faults.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const server_id engine_a{"a"};
+const time_point start{1h};
+
+} // namespace
+
+TEST_CASE("a suspicion keeps requests away for a while and ends by itself")
+{
+    engine_faults faults{{}};
+    faults.report(engine_a, engine_fault::unreachable, start);
+    CHECK(faults.avoided(start + 399ms).size() == 1);
+    CHECK(faults.avoided(start + 400ms).empty());
+}
+
+TEST_CASE("many reports of one event are one suspicion")
+{
+    engine_faults faults{{}};
+    for (int i = 0; i < 50; ++i)
+    {
+        faults.report(engine_a, engine_fault::named_by_peer, start + i * 1ms);
+    }
+    CHECK(faults.avoided(start + 400ms).empty());
+}
+
+TEST_CASE("a suspicion that is renewed lasts twice as long, up to a bound")
+{
+    engine_faults faults{{}};
+    time_point now = start;
+    for (int i = 0; i < 10; ++i)
+    {
+        faults.report(engine_a, engine_fault::named_by_peer, now);
+        now += 3s;
+    }
+    faults.report(engine_a, engine_fault::named_by_peer, now);
+    CHECK(faults.avoided(now + 2999ms).size() == 1);
+    CHECK(faults.avoided(now + 3s).empty());
+}
+
+TEST_CASE("two inquiries without an answer confirm the loss")
+{
+    engine_faults faults{{}};
+    faults.report(engine_a, engine_fault::in_silent_pipeline, start);
+    CHECK(faults.take_due_inquiries(start) == std::vector{engine_a});
+    CHECK(faults.take_due_inquiries(start + 100ms).empty());
+    faults.inquiry_failed(engine_a, start + 100ms);
+    CHECK_FALSE(faults.is_confirmed(engine_a));
+    CHECK(faults.take_due_inquiries(start + 400ms) == std::vector{engine_a});
+    faults.inquiry_failed(engine_a, start + 500ms);
+    CHECK(faults.is_confirmed(engine_a));
+    CHECK(faults.avoided(start + 1h) == std::vector{engine_a});
+    faults.inquiry_answered(engine_a, start + 1h);
+    CHECK_FALSE(faults.is_confirmed(engine_a));
+    CHECK(faults.avoided(start + 1h).empty());
+}
+
+TEST_CASE("an answered inquiry ends a suspicion that rested on silence only")
+{
+    engine_faults faults{{}};
+    faults.report(engine_a, engine_fault::in_silent_pipeline, start);
+    faults.inquiry_answered(engine_a, start + 10ms);
+    CHECK(faults.avoided(start + 10ms).empty());
+    // A draining engine answers, and refuses requests all the same.
+    const server_id draining{"b"};
+    faults.report(draining, engine_fault::named_by_peer, start);
+    faults.inquiry_answered(draining, start + 10ms);
+    CHECK(faults.avoided(start + 10ms) == std::vector{draining});
+}
+
+TEST_CASE("engines that left the fleet are forgotten")
+{
+    engine_faults faults{{}};
+    faults.report(engine_a, engine_fault::unreachable, start);
+    faults.keep_only(
+        [](const server_id&)
+        {
+            return false;
+        });
+    CHECK(faults.avoided(start).empty());
+}
--- /dev/null
+++ b/unit_tests/routing/layer_layout_test.cpp
@@ -0,0 +1,168 @@
+#include "routing/layer_layout.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace fireflysail;
+
+namespace
+{
+
+constexpr std::uint32_t model_layers = 80;
+
+layout_engine
+make(const std::string& id, const std::string& zone, std::uint32_t most)
+{
+    return {server_id{id}, zone_id{zone}, most, std::nullopt};
+}
+
+/// A zone as it is used: one large engine, eight middle and five small ones.
+std::vector<layout_engine> one_zone(const std::string& zone)
+{
+    std::vector<layout_engine> engines{make(zone + "-big", zone, 20)};
+    for (int i = 0; i < 8; ++i)
+    {
+        engines.push_back(make(zone + "-mid" + std::to_string(i), zone, 12));
+    }
+    for (int i = 0; i < 5; ++i)
+    {
+        engines.push_back(make(zone + "-low" + std::to_string(i), zone, 8));
+    }
+    return engines;
+}
+
+void carry_out(
+    std::vector<layout_engine>& engines, const std::vector<layout_step>& steps)
+{
+    for (const layout_step& step : steps)
+    {
+        const auto found =
+            std::ranges::find(engines, step.server, &layout_engine::id);
+        REQUIRE(found != engines.end());
+        found->held = step.layers;
+    }
+}
+
+/// Every zone that can hold the model covers each layer, within memory.
+void check_whole(const std::vector<layout_engine>& engines)
+{
+    std::map<zone_id, std::vector<bool>> covered;
+    std::map<zone_id, std::uint32_t> capacity;
+    for (const layout_engine& one : engines)
+    {
+        auto& layers = covered[one.zone];
+        layers.resize(model_layers);
+        capacity[one.zone] += one.most_layers;
+        if (!one.held)
+        {
+            continue;
+        }
+        CHECK(one.held->size() <= one.most_layers);
+        for (auto i = one.held->first.value(); i < one.held->last.value(); ++i)
+        {
+            layers.at(i) = true;
+        }
+    }
+    for (const auto& [zone, layers] : covered)
+    {
+        if (capacity.at(zone) >= model_layers)
+        {
+            CHECK(std::ranges::find(layers, false) == layers.end());
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("an empty zone is split among all its engines by memory")
+{
+    auto engines = one_zone("a");
+    const auto steps = plan_layout(engines, model_layers);
+    CHECK(steps.size() == engines.size());
+    carry_out(engines, steps);
+    check_whole(engines);
+    const auto& big = engines.front();
+    CHECK(big.held->size() == 10);
+}
+
+TEST_CASE("a layout that is whole is left alone")
+{
+    auto engines = one_zone("a");
+    carry_out(engines, plan_layout(engines, model_layers));
+    CHECK(plan_layout(engines, model_layers).empty());
+}
+
+TEST_CASE("the neighbours of a lost engine take over its layers")
+{
+    auto engines = one_zone("a");
+    carry_out(engines, plan_layout(engines, model_layers));
+    const auto index = GENERATE(range(0, 14));
+    engines.erase(engines.begin() + index);
+    const auto steps = plan_layout(engines, model_layers);
+    carry_out(engines, steps);
+    check_whole(engines);
+    // Most of the zone goes on serving while it is repaired.
+    CHECK(steps.size() <= engines.size() / 2);
+}
+
+TEST_CASE("an engine that came back empty takes the hole")
+{
+    auto engines = one_zone("a");
+    carry_out(engines, plan_layout(engines, model_layers));
+    engines[3].held.reset();
+    const auto steps = plan_layout(engines, model_layers);
+    REQUIRE(steps.size() == 1);
+    CHECK(steps.front().server == engines[3].id);
+    carry_out(engines, steps);
+    check_whole(engines);
+}
+
+TEST_CASE("a zone that cannot hold the model gets no orders")
+{
+    const std::vector<layout_engine> engines{
+        make("x", "small", 20), make("y", "small", 20)};
+    CHECK(plan_layout(engines, model_layers).empty());
+}
+
+TEST_CASE("zones are planned apart from one another")
+{
+    auto engines = one_zone("a");
+    const auto other = one_zone("b");
+    engines.insert(engines.end(), other.begin(), other.end());
+    carry_out(engines, plan_layout(engines, model_layers));
+    check_whole(engines);
+    engines.pop_back();
+    for (const layout_step& step : plan_layout(engines, model_layers))
+    {
+        CHECK(step.server.str().starts_with("b"));
+    }
+}
+
+TEST_CASE("a zone stays whole through a series of losses and returns")
+{
+    const auto seed = GENERATE(range(1, 20));
+    std::mt19937_64 random{static_cast<std::uint64_t>(seed)};
+    auto engines = one_zone("a");
+    carry_out(engines, plan_layout(engines, model_layers));
+    for (int event = 0; event < 40; ++event)
+    {
+        const auto at = random() % engines.size();
+        const bool is_return = engines.size() < 10 || random() % 2 == 0;
+        if (is_return)
+        {
+            engines.push_back(make(
+                "new" + std::to_string(event),
+                "a",
+                random() % 2 == 0 ? 12U : 8U));
+        }
+        else
+        {
+            engines.erase(engines.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        carry_out(engines, plan_layout(engines, model_layers));
+        check_whole(engines);
+    }
+}
--- /dev/null
+++ b/unit_tests/routing/pipeline_watch_test.cpp
@@ -0,0 +1,108 @@
+#include "routing/pipeline_watch.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t pipeline_a = 1;
+constexpr std::uint64_t pipeline_b = 2;
+const time_point start{1h};
+
+/// Begins runs that each get an event every `gap` until the moment returned.
+time_point run_streams(
+    pipeline_watch& watch, const std::vector<run_id>& runs, duration gap)
+{
+    time_point now = start;
+    for (int event = 0; event < 100; ++event)
+    {
+        now += gap;
+        for (const run_id run : runs)
+        {
+            watch.on_event(run, now);
+        }
+    }
+    return now;
+}
+
+std::vector<run_id>
+begin(pipeline_watch& watch, std::uint64_t pipeline, std::size_t count)
+{
+    std::vector<run_id> runs;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        runs.push_back(watch.begin(pipeline, start));
+    }
+    return runs;
+}
+
+} // namespace
+
+TEST_CASE("a pipeline whose streams all stop is found within their gap bound")
+{
+    pipeline_watch watch{{}};
+    const auto stopped = begin(watch, pipeline_a, 5);
+    const auto going = begin(watch, pipeline_b, 5);
+    std::vector<run_id> all = stopped;
+    all.insert(all.end(), going.begin(), going.end());
+    const time_point last = run_streams(watch, all, 35ms);
+    for (const run_id run : going)
+    {
+        watch.on_event(run, last + 90ms);
+    }
+    CHECK(watch.silent(last + 99ms).empty());
+    CHECK(watch.silent(last + 100ms).size() == stopped.size());
+}
+
+TEST_CASE("one stream that stops among others is not a silent pipeline")
+{
+    pipeline_watch watch{{}};
+    const auto runs = begin(watch, pipeline_a, 5);
+    time_point now = run_streams(watch, runs, 35ms);
+    for (int i = 0; i < 50; ++i)
+    {
+        now += 35ms;
+        watch.on_event(runs[0], now);
+        CHECK(watch.silent(now).empty());
+    }
+}
+
+TEST_CASE("a slow engine does not make its pipeline look silent")
+{
+    pipeline_watch watch{{}};
+    const auto runs = begin(watch, pipeline_a, 5);
+    const time_point last = run_streams(watch, runs, 150ms);
+    CHECK(watch.silent(last + 300ms).empty());
+    CHECK(watch.silent(last + 400ms).size() == runs.size());
+}
+
+TEST_CASE("few streams are given longer")
+{
+    pipeline_watch watch{{}};
+    const auto runs = begin(watch, pipeline_a, 2);
+    const time_point last = run_streams(watch, runs, 35ms);
+    CHECK(watch.silent(last + 340ms).empty());
+    CHECK(watch.silent(last + 350ms).size() == runs.size());
+}
+
+TEST_CASE("a run without a first event waits for its prefill")
+{
+    pipeline_watch watch{{}};
+    const auto runs = begin(watch, pipeline_a, 1);
+    CHECK(watch.silent(start + 899ms).empty());
+    CHECK(watch.silent(start + 900ms) == runs);
+}
+
+TEST_CASE("runs that ended are not watched")
+{
+    pipeline_watch watch{{}};
+    const auto runs = begin(watch, pipeline_a, 1);
+    watch.end(runs.front());
+    CHECK(watch.empty());
+    CHECK(watch.silent(start + 1h).empty());
+}
--- a/unit_tests/routing/planner_test.cpp
+++ b/unit_tests/routing/planner_test.cpp
@@ -390,3 +390,85 @@
     CHECK(second->slot_of(server_id{"c"}) != first->slot_of(server_id{"a"}));
     CHECK_FALSE(second->slot_of(server_id{"a"}).has_value());
 }
+
+namespace
+{
+
+/// Two zones that each hold the whole model twice over, in halves.
+fleet_snapshot two_zones()
+{
+    fleet_snapshot fleet;
+    for (const char* zone : {"a", "b"})
+    {
+        for (const std::uint32_t first : {0U, 40U})
+        {
+            engine server;
+            server.id = server_id{zone + std::to_string(first)};
+            server.zone = zone_id{zone};
+            server.region = region_id{"r"};
+            server.kind = accelerator_kind{"k"};
+            server.holdings = {
+                {model_id{"m"},
+                 model_version{"1"},
+                 {layer_index{first}, layer_index{first + 40}},
+                 {}}};
+            server.load.slots = 8;
+            server.load.step_time = 5ms;
+            server.load.prefill_time_per_token = 1us;
+            fleet.engines.push_back(server);
+        }
+    }
+    fleet.models = {{model_id{"m"}, 80, true}};
+    fleet.links = {{zone_id{"a"}, zone_id{"b"}, 50ms}};
+    return fleet;
+}
+
+std::vector<std::set<std::string>>
+zones_of_pipelines(const fleet_snapshot& fleet)
+{
+    std::vector<std::set<std::string>> zones;
+    const auto table = plan(fleet);
+    for (const auto& [key, set] : table->sets)
+    {
+        for (const pipeline& candidate : set->candidates)
+        {
+            auto& crossed = zones.emplace_back();
+            for (const stage& part : candidate.stages)
+            {
+                crossed.insert(find_engine(fleet, part.server).zone.str());
+            }
+        }
+    }
+    return zones;
+}
+
+} // namespace
+
+TEST_CASE("pipelines stay within a zone where links are scarce")
+{
+    const auto fleet = two_zones();
+    const auto zones = zones_of_pipelines(fleet);
+    REQUIRE(zones.size() == 2);
+    CHECK(zones[0].size() == 1);
+    CHECK(zones[1].size() == 1);
+    CHECK(zones[0] != zones[1]);
+}
+
+TEST_CASE("a zone that lost a layer has no pipeline while another is whole")
+{
+    auto fleet = two_zones();
+    fleet.engines.erase(fleet.engines.begin());
+    const auto zones = zones_of_pipelines(fleet);
+    REQUIRE(zones.size() == 1);
+    CHECK(zones[0] == std::set<std::string>{"b"});
+}
+
+TEST_CASE("pipelines cross while no zone holds the whole model")
+{
+    auto fleet = two_zones();
+    fleet.engines.erase(fleet.engines.begin() + 3);
+    fleet.engines.erase(fleet.engines.begin());
+    const auto zones = zones_of_pipelines(fleet);
+    REQUIRE(zones.size() == 1);
+    CHECK(zones[0].size() == 2);
+}
--- /dev/null
+++ b/unit_tests/routing/server_balancer_test.cpp
@@ -0,0 +1,98 @@
+#include "routing/server_balancer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const service_id desk{"desk"};
+const zone_id home{"a"};
+const time_point start{1h};
+
+fleet_snapshot three_servers()
+{
+    fleet_snapshot fleet;
+    for (const char* zone : {"a", "b", "c"})
+    {
+        service_server server;
+        server.id = server_id{zone};
+        server.service = desk;
+        server.zone = zone_id{zone};
+        server.slots = 6;
+        fleet.services.push_back(server);
+    }
+    return fleet;
+}
+
+struct fixture
+{
+    fleet_snapshot fleet = three_servers();
+    server_balancer balancer;
+    std::mt19937_64 random{1};
+
+    const service_server*
+    choose(time_point now, std::vector<server_id> excluded = {})
+    {
+        return this->balancer.choose(
+            this->fleet, desk, home, excluded, now, this->random);
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(fixture, "an idle service is asked in the own zone")
+{
+    CHECK(this->choose(start)->id == server_id{"a"});
+}
+
+TEST_CASE_METHOD(fixture, "own work in flight moves requests elsewhere")
+{
+    this->balancer.on_sent(server_id{"a"});
+    CHECK(this->choose(start)->id != server_id{"a"});
+    this->balancer.on_ended(
+        server_id{"a"}, server_outcome::answered, 30ms, start);
+    CHECK(this->choose(start)->id == server_id{"a"});
+}
+
+TEST_CASE_METHOD(fixture, "load of others counts while it is fresh")
+{
+    this->balancer.on_load(server_id{"a"}, 6, 2, start);
+    CHECK(this->choose(start + 100ms)->id != server_id{"a"});
+    CHECK(this->choose(start + 600ms)->id == server_id{"a"});
+}
+
+TEST_CASE_METHOD(
+    fixture, "a server that fails while it is healthy loses its requests")
+{
+    std::map<std::string, int> asked;
+    time_point now = start;
+    for (int i = 0; i < 200; ++i)
+    {
+        now += 20ms;
+        const auto* server = this->choose(now);
+        ++asked[server->id.str()];
+        this->balancer.on_sent(server->id);
+        this->balancer.on_ended(
+            server->id,
+            server->id == server_id{"a"} ? server_outcome::failed
+                                         : server_outcome::answered,
+            30ms,
+            now);
+    }
+    CHECK(asked["a"] < 10);
+    // It is tried again once its failures are long past.
+    CHECK(this->choose(now + 1min)->id == server_id{"a"});
+}
+
+TEST_CASE_METHOD(fixture, "excluded, leaving and other services are not asked")
+{
+    this->fleet.services[0].mark = server_mark::leaving;
+    this->fleet.services[1].service = service_id{"other"};
+    CHECK(this->choose(start)->id == server_id{"c"});
+    CHECK(this->choose(start, {server_id{"c"}}) == nullptr);
+}
