--- /dev/null
+++ b/scripts/platform_world.py
@@ -0,0 +1,306 @@
+"""A small world in the users' platform's formats, for tests of the program.
+
+A store with objects, conditions and watches; model engines that hold layers
+and take orders; a plain service. Faults are switched on by the test.
+"""
+import asyncio
+import json
+import random
+import time
+
+LAYERS = 80
+EVENTS = 30
+EVENT_PAUSE_S = 0.004
+
+
+async def read_request(reader):
+    header = (await reader.readuntil(b"\r\n\r\n")).decode()
+    lines = header.split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    fields = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            fields[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(fields.get("content-length", "0")))
+    return method, target, fields, body
+
+
+def answer(writer, status, body=b"", more=""):
+    head = (f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{more}"
+            f"Content-Length: {len(body)}\r\n\r\n")
+    writer.write(head.encode() + body)
+
+
+class Store:
+    def __init__(self):
+        self.revision = 10
+        self.objects = {}
+        self.events = []
+        self.down = False
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        stored = {"Metadata": {"Name": name, "Revision": self.revision},
+                  "Spec": spec, "Status": None}
+        self.objects.setdefault(kind, {})[name] = stored
+        self.events.append((self.revision, kind,
+                            {"Object": stored, "Deleted": False}))
+        return stored
+
+    def remove(self, kind, name):
+        self.revision += 1
+        stored = self.objects[kind].pop(name)
+        self.events.append((self.revision, kind,
+                            {"Object": stored, "Deleted": True}))
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                request = await read_request(reader)
+                if self.down:
+                    break
+                await self.handle(writer, *request)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError,
+                ConnectionError):
+            pass
+        writer.close()
+
+    async def handle(self, writer, method, target, _fields, body):
+        path, _, query = target.partition("?")
+        asked = dict(part.split("=") for part in query.split("&") if part)
+        parts = path.split("/")[3:]
+        kind = parts[0]
+        known = self.objects.get(kind, {})
+        if method == "GET" and "Watch" in asked:
+            events = await self.changes(kind, int(asked["Watch"]),
+                                        int(asked["WaitMs"]) / 1000)
+            if self.down:
+                return
+            answer(writer, 200, json.dumps(
+                {"events": events, "AsOf": self.revision}).encode())
+        elif method == "GET" and len(parts) == 1:
+            answer(writer, 200, json.dumps(
+                {"Items": list(known.values()), "HasMore": False,
+                 "AsOf": self.revision}).encode())
+        elif method == "GET":
+            found = known.get(parts[1])
+            answer(writer, 200 if found else 404,
+                   json.dumps(found or {}).encode())
+        else:
+            self.write(writer, method, kind, known, json.loads(body))
+
+    async def changes(self, kind, after, wait_s):
+        end = time.monotonic() + wait_s
+        while True:
+            events = [entry for number, of, entry in self.events
+                      if number > after and of == kind]
+            if events or self.down or time.monotonic() >= end:
+                return events
+            await asyncio.sleep(0.01)
+
+    def write(self, writer, method, kind, known, wanted):
+        name = wanted["Metadata"]["Name"]
+        found = known.get(name)
+        expected = wanted["Metadata"].get("Revision")
+        taken = method == "POST" and found is not None
+        changed = method == "PUT" and (
+            found is None or found["Metadata"]["Revision"] != expected)
+        if taken or changed:
+            answer(writer, 409, json.dumps(found or {}).encode())
+            return
+        stored = self.put(kind, name, wanted["Spec"])
+        answer(writer, 200, json.dumps(stored).encode())
+
+
+class Server:
+    """An engine if it has an accelerator, else a server of the plain service."""
+
+    def __init__(self, world, name, zone, accelerator):
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.accelerator = accelerator
+        self.layers = None
+        self.orders = 0
+        self.listener = None
+        self.writers = set()
+        self.ran = []
+
+    async def start(self):
+        self.listener = await asyncio.start_server(
+            self.serve, "127.0.0.1", 0)
+        self.port = self.listener.sockets[0].getsockname()[1]
+        self.register()
+
+    def register(self):
+        entry = {"Service": "model" if self.accelerator else "desk",
+                 "Address": f"127.0.0.1:{self.port}", "Zone": self.zone,
+                 "Version": "v1", "Slots": 192 if self.accelerator else 6,
+                 "State": "ready", "Sequence": 1, "born": 1000}
+        if self.accelerator:
+            entry["Kind"] = self.accelerator
+            entry["Layers"] = self.held()
+        self.world.store.put("servers", self.name, entry)
+
+    def held(self):
+        if not self.layers:
+            return []
+        return [{"From": self.layers[0], "Target": self.layers[1],
+                 "Version": 1}]
+
+    def crash(self):
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                if not await self.handle(writer, *request):
+                    break
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError,
+                ConnectionError):
+            pass
+        self.writers.discard(writer)
+        writer.close()
+
+    async def handle(self, writer, _method, target, fields, body):
+        if target == "/fireflysail/report":
+            answer(writer, 200, json.dumps(
+                {"Sequence": self.orders, "Busy": False, "born": 1000,
+                 "Layers": self.held()}).encode())
+            return True
+        if target == "/fireflysail/order":
+            order = json.loads(body)
+            self.layers = (order["From"], order["Target"])
+            self.orders += 1
+            answer(writer, 202)
+            self.register()
+            return True
+        attempt = fields["x-fireflysail-attempt-id"]
+        echo = f"X-Fireflysail-Attempt-Id: {attempt}\r\n"
+        if fields.get("x-fireflysail-expect-instance") != self.name:
+            answer(writer, 421, b"", echo)
+            return True
+        self.ran.append((attempt, fields))
+        if self.accelerator:
+            return await self.stream(writer, fields, echo)
+        await asyncio.sleep(0.005)
+        answer(writer, 200, b"done",
+               echo + "X-Fireflysail-Server-Stamp: s\r\n")
+        return True
+
+    async def stream(self, writer, fields, echo):
+        covered = 0
+        for part in fields["x-fireflysail-hop-count"].split(","):
+            first, last = part.split("=")[1].split("-")
+            if int(first) != covered:
+                self.world.broken.append(fields["x-fireflysail-hop-count"])
+            covered = int(last)
+        if covered != LAYERS:
+            self.world.broken.append(fields["x-fireflysail-hop-count"])
+        writer.write((
+            f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{echo}"
+            "X-Fireflysail-Server-Stamp: s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(int(fields.get("last-event-id", "0")) + 1,
+                            EVENTS + 1):
+            event = f"id: {number}\ndata: token\n\n".encode()
+            chunk = f"{len(event):x}\r\n".encode() + event
+            if self.world.random.random() < self.world.break_share:
+                writer.write(chunk[:12])
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            writer.write(chunk + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class World:
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.store = Store()
+        self.servers = {}
+        self.broken = []
+        self.break_share = 0.0
+        self.version = 1
+
+    async def start(self):
+        listener = await asyncio.start_server(
+            self.store.serve, "127.0.0.1", 0)
+        self.store_port = listener.sockets[0].getsockname()[1]
+        self.configure(["/stream/"], ["key"])
+        for zone in ("a", "b"):
+            for number in range(4):
+                await self.add(f"engine-{zone}{number}", zone, "large")
+            await self.add(f"desk-{zone}", zone, "")
+
+    async def add(self, name, zone, accelerator):
+        self.servers[name] = Server(self, name, zone, accelerator)
+        await self.servers[name].start()
+
+    def configure(self, stream_prefixes, keys):
+        self.version += 1
+        routes = [{"Name": f"r{prefix}", "Host": "shop.example",
+                   "PathPrefix": prefix, "Kind": "streaming",
+                   "TimeoutMs": 20000, "GoalMs": 500, "GapTargetMs": 200,
+                   "Service": "model", "MaxAttempts": 2, "Resumable": True,
+                   "Sticky": True} for prefix in stream_prefixes]
+        for prefix, kind in (("/safe/", "safe"), ("/once/", "unsafe")):
+            routes.append({"Name": f"r{prefix}", "Host": "shop.example",
+                           "PathPrefix": prefix, "Kind": kind,
+                           "TimeoutMs": 2000, "GoalMs": 150,
+                           "Service": "desk", "MaxAttempts": 2})
+        engine = {"Slots": 192, "KvTokenBytes": 426000, "step_ms": 0.85,
+                  "read_per_s": 272000.0, "loads_at_once": 6,
+                  "Layers": LAYERS, "LayerMb": 1750.0, "ActBytes": 21300,
+                  "usual": {"prompt": 772, "answer": 60}, "delays": [],
+                  "Models": [{"Name": "m", "LoadS": 14.0}],
+                  "Kinds": [{"Name": "large", "Mb": 72000.0, "pace": 3.1,
+                             "ReadX": 3.2}]}
+        self.store.put("config", "main", {
+            "Version": self.version, "Routes": routes,
+            "Services": [{"Name": "model", "HealthPath": "/health",
+                          "MaxConns": 978, "Engine": engine},
+                         {"Name": "desk", "HealthPath": "/health",
+                          "MaxConns": 110}],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304,
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+            "Tenants": [{"Name": "team", "ApiKeys": keys}]})
+
+
+async def ask(port, path, attempt, key="key", method="GET"):
+    """Status, body and whether the answer was whole; status 0: none."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write((
+            f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+            f"X-Fireflysail-Attempt-Id: {attempt}\r\n"
+            "X-Fireflysail-Model: m\r\n"
+            "X-Fireflysail-Token-Counts: 800,60\r\n"
+            "X-Fireflysail-Deadline-Ms: 20000\r\n"
+            f"Authorization: Bearer {key}\r\n\r\n").encode())
+        header = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        status = int(header.split(" ")[1])
+        body = b""
+        if "transfer-encoding: chunked" in header:
+            size = None
+            while size != 0:
+                size = int(await reader.readuntil(b"\r\n"), 16)
+                body += (await reader.readexactly(size + 2))[:size]
+        else:
+            length = [line.split(":")[1] for line in header.split("\r\n")
+                      if line.startswith("content-length")]
+            body = await reader.readexactly(int(length[0]))
+        writer.close()
+        return status, body, True
+    except (asyncio.IncompleteReadError, ConnectionError, OSError):
+        return 0, b"", False
--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -17,6 +17,9 @@
 
 using namespace std::chrono_literals;
 
+/// Status of answers of our own that promise that nothing ran.
+constexpr unsigned refused_status = 503;
+
 /// Time for the body of a request, beyond that for its header.
 constexpr duration body_time = 10s;
 
@@ -323,7 +326,14 @@
           served.first_event_after ? milliseconds(*served.first_event_after)
                                    : -1.0},
          {"total_ms", milliseconds(now - served.received_at)},
-         {"config_version", served.config ? served.config->version : 0}});
+         {"reason", served.own_reason},
+         {"events", served.events},
+         {"longest_gap_ms", milliseconds(served.longest_gap)},
+         {"held_ms", milliseconds(served.held)},
+         {"config_version", served.config ? served.config->version : 0},
+         {"config_age_ms",
+          served.config ? milliseconds(now - served.config->read_at) : -1.0},
+         {"fleet_revision", this->relay.board.fleet.load()->version.value()}});
     if (served.first_event_after)
     {
         this->relay.metrics.observe(
@@ -337,8 +347,20 @@
         request_class::standard,
         request_time::total,
         now - served.received_at);
+    if (served.held > duration::zero())
+    {
+        this->relay.metrics.observe(
+            served.workspace,
+            request_class::standard,
+            request_time::queue_wait,
+            served.held);
+    }
+    const bool refused =
+        served.last_status == refused_status && !served.own_reason.empty();
     this->relay.metrics.count(
-        good ? request_event::completed : request_event::failed);
+        good      ? request_event::completed
+        : refused ? request_event::did_not_run
+                  : request_event::failed);
 }
 
 } // namespace fireflysail
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -141,6 +141,7 @@
 asio::awaitable<void> answer_ourselves(exchange& served, own_answer why)
 {
     served.last_status = status_of(why);
+    served.own_reason = name_of(why);
     if (served.caller.has_left())
     {
         co_return;
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -69,7 +69,14 @@
     /// For the log: the last server and status.
     server_id last_server;
     unsigned last_status = 0;
+    /// Empty unless the answer is our own.
+    std::string_view own_reason;
     std::optional<duration> first_event_after;
+    std::uint32_t events = 0;
+    duration longest_gap{};
+    time_point last_event_at{};
+    /// Time for which no pipeline was there.
+    duration held{};
 
     duration time_left() const;
 
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -151,6 +151,24 @@
         blamed.server, engine_fault::named_by_peer);
 }
 
+/// For the log and the metrics: several events that came together are one.
+void note_events(exchange& served)
+{
+    const time_point now = served.relay.time.now();
+    if (served.events > 0)
+    {
+        const duration gap = now - served.last_event_at;
+        served.longest_gap = std::max(served.longest_gap, gap);
+        served.relay.metrics.observe(
+            served.workspace,
+            request_class::standard,
+            request_time::between_tokens,
+            gap);
+    }
+    ++served.events;
+    served.last_event_at = now;
+}
+
 /// Forwards the whole events received; false when the caller is lost.
 asio::awaitable<bool>
 forward(stream_state& state, event_stream& events, std::string& out)
@@ -175,6 +193,7 @@
     exchange& served = state.served;
     state.fruitless = 0;
     state.run->on_event();
+    note_events(served);
     io_error failed;
     if (state.header_sent)
     {
@@ -509,6 +528,7 @@
                 break;
             }
             state.excluded.clear();
+            served.held += wait_for_pipeline;
             co_await pause_for(pause, wait_for_pipeline);
             continue;
         }
@@ -526,6 +546,10 @@
             break;
         }
         ++state.fruitless;
+        if (served.attempts > 0)
+        {
+            relay.metrics.count(request_event::resume);
+        }
         const auto end = co_await attempt_once(state, *routed);
         if (end == attempt_end::whole)
         {
