--- a/source/main/command_line.cpp
+++ b/source/main/command_line.cpp
@@ -248,6 +248,10 @@
         "Node file; else the one that the environment names",
         cxxopts::value<std::string>()->default_value(""),
         "FILE");
+    add("metrics-port",
+        "Serves metrics at this port too; 0: only at the control address",
+        cxxopts::value<int>()->default_value("0"),
+        "PORT");
     add("log-level",
         "debug, info, warning or error",
         cxxopts::value<std::string>()->default_value("info"));
@@ -257,8 +261,15 @@
         return help_command{*parsed.help};
     }
     expect_words(parsed.rest, 0, "");
+    const int metrics_port = parsed.arguments["metrics-port"].as<int>();
+    if (metrics_port < 0 || metrics_port > highest_port)
+    {
+        throw argument_error{
+            fmt::format("--metrics-port {}: no port", metrics_port)};
+    }
     return relay_command{
         parsed.arguments["node-file"].as<std::string>(),
+        metrics_port,
         read_level(parsed.arguments)};
 }
 
--- a/source/main/command_line.hpp
+++ b/source/main/command_line.hpp
@@ -37,6 +37,8 @@
 {
     /// Empty: the path that the environment names.
     std::string node_file;
+    /// Zero: metrics at the node's control address only.
+    int metrics_port = 0;
     log::level lowest = log::level::info;
 };
 
--- a/source/main/relay_command.cpp
+++ b/source/main/relay_command.cpp
@@ -55,7 +55,8 @@
     }
     log::configure(wanted.lowest, log::format::json);
     log::start_background_output();
-    const auto& node = std::get<node_settings>(loaded);
+    auto& node = std::get<node_settings>(loaded);
+    node.metrics_port = wanted.metrics_port;
     const boot_clock time;
     platform::object_store objects{node.store, time};
     platform::engine_client engines;
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -2,12 +2,12 @@
 
 #include "common/log.hpp"
 
-#include <absl/strings/str_cat.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <iterator>
 #include <utility>
 
 namespace fireflysail
@@ -134,6 +134,7 @@
           [this]
           {
               this->traffic.expire();
+              this->note_store();
               this->inquiry.ask();
               // A store that does not answer must not hold up repairs.
               if (!this->servers_watch.status().failing_since)
@@ -219,6 +220,23 @@
         });
 }
 
+void relay_process::note_store()
+{
+    const auto status = this->servers_watch.status();
+    const bool lost = status.failing_since.has_value();
+    if (lost == this->store_is_lost)
+    {
+        return;
+    }
+    this->store_is_lost = lost;
+    log::event(
+        lost ? log::level::warning : log::level::info,
+        log::channel::store,
+        lost ? "store_lost" : "store_regained",
+        {{"revision", status.position.value()},
+         {"failures", status.counts.failures}});
+}
+
 void relay_process::survey_if_blind()
 {
     const auto failing_since = this->servers_watch.status().failing_since;
@@ -261,21 +279,37 @@
 {
     const auto config = this->board.traffic.load();
     std::string text = this->metrics.to_prometheus();
-    absl::StrAppend(
-        &text,
-        "fireflysail_active_requests ",
-        this->relay.active_requests,
-        "\nfireflysail_open_connections ",
-        this->relay.open_connections,
-        "\nfireflysail_config_version ",
-        config ? config->version : 0,
-        "\nfireflysail_fleet_revision ",
-        this->board.fleet.load()->version.value(),
-        "\nfireflysail_leads ",
-        this->duty.leads() ? 1 : 0,
-        "\nfireflysail_dropped_log_lines_total ",
-        log::dropped_lines(),
-        "\n");
+    const auto add = [&text](std::string_view name, auto value)
+    {
+        fmt::format_to(
+            std::back_inserter(text), "fireflysail_{} {}\n", name, value);
+    };
+    const auto age_of = [this](const std::optional<time_point>& since)
+    {
+        return since ? std::chrono::duration<double>{this->time.now() - *since}
+                           .count()
+                     : 0.0;
+    };
+    add("active_requests", this->relay.active_requests);
+    add("open_connections", this->relay.open_connections);
+    add("config_version", config ? config->version : 0);
+    add("config_age_seconds",
+        age_of(config ? std::optional{config->read_at} : std::nullopt));
+    add("fleet_revision", this->board.fleet.load()->version.value());
+    add("pipelines", this->pipelines.first_stages().size());
+    add("engines_avoided", this->inquiry.avoided().size());
+    add("engines_lost", this->inquiry.lost().size());
+    add("leads", this->duty.leads() ? 1 : 0);
+    add("backend_connections_opened_total", this->pool.counts.opened);
+    add("backend_connections_reused_total", this->pool.counts.reused);
+    add("backend_connections_failed_total", this->pool.counts.failed);
+    add("backend_connections_spoiled_total", this->pool.counts.spoiled);
+    const auto store = this->servers_watch.status();
+    add("store_failing_seconds", age_of(store.failing_since));
+    add("store_failures_total", store.counts.failures);
+    add("store_lists_total", store.counts.lists);
+    add("store_watches_total", store.counts.watches);
+    add("dropped_log_lines_total", log::dropped_lines());
     return text;
 }
 
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -57,6 +57,9 @@
     /// has no pipeline.
     void survey_if_blind();
 
+    /// Tells in the log when the store is lost and regained.
+    void note_store();
+
     const node_settings settings;
     platform_adapter adapter;
     const boot_clock time;
@@ -89,6 +92,7 @@
 
     /// Written by the duties' thread alone.
     time_point last_survey{};
+    bool store_is_lost = false;
 };
 
 } // namespace fireflysail
--- a/source/relay/relay_server.cpp
+++ b/source/relay/relay_server.cpp
@@ -37,6 +37,7 @@
     , callers{io}
     , readiness{io}
     , control{io}
+    , metrics{io}
 {
 }
 
@@ -52,6 +53,17 @@
             return failed;
         }
     }
+    const endpoint fixed{
+        this->relay.node.callers.host, this->relay.node.metrics_port};
+    if (fixed.port != 0)
+    {
+        if (const io_error failed = this->listen(this->metrics, fixed))
+        {
+            return failed;
+        }
+        asio::co_spawn(
+            this->io, this->accept_probes(this->metrics), asio::detached);
+    }
     asio::co_spawn(this->io, this->accept_callers(), asio::detached);
     asio::co_spawn(
         this->io, this->accept_probes(this->readiness), asio::detached);
--- a/source/relay/relay_server.hpp
+++ b/source/relay/relay_server.hpp
@@ -50,6 +50,7 @@
     tcp::acceptor callers;
     tcp::acceptor readiness;
     tcp::acceptor control;
+    tcp::acceptor metrics;
     std::unordered_set<caller_session*> sessions;
 };
 
--- a/source/settings/node_settings.hpp
+++ b/source/settings/node_settings.hpp
@@ -50,8 +50,10 @@
     endpoint callers;
     /// Asked by the balancer whether the instance takes new connections.
     endpoint readiness;
-    /// Metrics, and what instances tell one another.
+    /// Metrics.
     endpoint control;
+    /// Metrics at a port that is the same on all instances; none if zero.
+    int metrics_port = 0;
     endpoint store;
     store_rates rates;
     service_bounds bounds;
