Routing, control: several copies in large zones, retries divided by the instances counted

Zones hold as many copies as leave room for cache; each instance registers once and counts the others.

--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -40,15 +40,18 @@
 /// Each survey asks every engine once, and each question is paid for.
 constexpr duration survey_interval = 1s;
 
-store_watcher_options watch_options()
+/// Part of the time in which a leaving server must be left that changes may
+/// wait to be fetched together.
+constexpr int watch_interval_divisor = 8;
+
+store_watcher_options watch_options(const service_bounds& bounds)
 {
     store_watcher_options options;
     options.list_time = 2s;
     // Bounds how long a connection that went silent can hide a change; each
     // watch is a call that is paid for.
     options.watch_time = 3s;
-    // Changes that come in quick succession are fetched together.
-    options.watch_interval = 150ms;
+    options.watch_interval = bounds.drain / watch_interval_divisor;
     options.relist_spread = 200ms;
     options.retry.first = 100ms;
     options.retry.longest = 1s;
@@ -56,9 +59,9 @@
 }
 
 /// Crashes are rare: long waits keep the calls few.
-store_watcher_options crash_watch_options()
+store_watcher_options crash_watch_options(const service_bounds& bounds)
 {
-    store_watcher_options options = watch_options();
+    store_watcher_options options = watch_options(bounds);
     options.watch_time = 10s;
     return options;
 }
@@ -101,21 +104,22 @@
           this->adapter.objects,
           {&this->traffic.config_consumer()},
           this->time,
-          watch_options(),
+          watch_options(this->settings.bounds),
           this->random()}
     , servers_watch{
           this->adapter.objects,
           {&this->traffic.servers_consumer()},
           this->time,
-          watch_options(),
+          watch_options(this->settings.bounds),
           this->random()}
     , crashes{this->adapter.objects, this->time}
     , crashes_watch{
           this->adapter.objects,
           {&this->crashes},
           this->time,
-          crash_watch_options(),
+          crash_watch_options(this->settings.bounds),
           this->random()}
+    , census{this->settings.self, this->adapter.objects, this->time}
     , inquiry{this->board, this->adapter.engines, this->time}
     , layout{this->board, this->adapter.engines, this->inquiry, this->time}
     , duty{
@@ -140,6 +144,7 @@
               if (!this->servers_watch.status().failing_since)
               {
                   this->crashes.publish();
+                  this->census.step();
               }
               this->traffic.set_lost(this->inquiry.lost());
               this->survey_if_blind();
@@ -209,6 +214,10 @@
 void relay_process::keep_up()
 {
     this->pool.close_idle();
+    if (this->census.count() > 0)
+    {
+        set_instances(this->relay, this->census.count());
+    }
     this->upkeep_timer.expires_after(upkeep_interval);
     this->upkeep_timer.async_wait(
         [this](io_error error)
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -3,6 +3,7 @@
 #include "blackboard/blackboard.hpp"
 #include "common/clock.hpp"
 #include "control/duty_thread.hpp"
+#include "control/instance_census.hpp"
 #include "control/layout_controller.hpp"
 #include "control/traffic_controller.hpp"
 #include "relay/relay_server.hpp"
@@ -73,6 +74,7 @@
     watch_hub servers_watch;
     crash_registry crashes;
     watch_hub crashes_watch;
+    instance_census census;
     engine_inquiry inquiry;
     layout_controller layout;
     duty_thread duty;
--- a/source/relay/relay_context.cpp
+++ b/source/relay/relay_context.cpp
@@ -6,10 +6,6 @@
 namespace
 {
 
-/// Instances among which the fleet's retries are divided. The number that run
-/// is not known, so it is taken from above.
-constexpr double assumed_instances = 12;
-
 /// Part of the slack that may be spent at one moment: losses come in bursts.
 constexpr double burst_part = 0.75;
 
@@ -17,17 +13,12 @@
 /// for the allowance and not for the budget, so this errs on the safe side.
 constexpr double used_share = 0.9;
 
-} // namespace
-
-retry_budget& budget_of(relay_context& relay, const service_id& service)
+/// Options of this instance's share of a service's budget.
+retry_budget::options share_of(const relay_context& relay)
 {
-    const auto found = relay.retry_budgets.find(service);
-    if (found != relay.retry_budgets.end())
-    {
-        return found->second;
-    }
     const service_bounds& bounds = relay.node.bounds;
-    const double slack = bounds.retry_slack / assumed_instances;
+    const double slack =
+        bounds.retry_slack / static_cast<double>(relay.instances);
     const double most = slack * burst_part;
     const double window =
         std::chrono::duration<double>{bounds.retry_window}.count();
@@ -37,9 +28,34 @@
     chosen.refill_per_second = (slack - most) / window;
     chosen.most = most;
     chosen.at_start = most;
+    return chosen;
+}
+
+} // namespace
+
+retry_budget& budget_of(relay_context& relay, const service_id& service)
+{
+    const auto found = relay.retry_budgets.find(service);
+    if (found != relay.retry_budgets.end())
+    {
+        return found->second;
+    }
     return relay.retry_budgets
-        .emplace(service, retry_budget{chosen, relay.time.now()})
+        .emplace(service, retry_budget{share_of(relay), relay.time.now()})
         .first->second;
 }
 
+void set_instances(relay_context& relay, std::size_t instances)
+{
+    if (relay.instances == instances)
+    {
+        return;
+    }
+    relay.instances = instances;
+    for (auto& [service, budget] : relay.retry_budgets)
+    {
+        budget.configure(share_of(relay), relay.time.now());
+    }
+}
+
 } // namespace fireflysail
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -21,6 +21,10 @@
 namespace fireflysail
 {
 
+/// Until their number is known: more than a fleet has, so that all together
+/// keep to the budget.
+inline constexpr std::size_t unknown_instances = 100;
+
 /// What all requests of the traffic thread share.
 struct relay_context
 {
@@ -42,11 +46,16 @@
     absl::node_hash_map<service_id, retry_budget> retry_budgets;
     /// Set once the instance stops: answers end their connections.
     bool draining = false;
+    /// Instances that share the retry budgets, as far as known.
+    std::size_t instances = unknown_instances;
     /// Requests being served.
     std::size_t active_requests = 0;
     std::size_t open_connections = 0;
 };
 
+/// Takes the number of instances among which retries are divided.
+void set_instances(relay_context& relay, std::size_t instances);
+
 /// Budget of the service; made when it is first asked for.
 retry_budget& budget_of(relay_context& relay, const service_id& service);
 
--- a/source/routing/candidates.cpp
+++ b/source/routing/candidates.cpp
@@ -24,6 +24,9 @@
 
 constexpr std::size_t nearest_candidates = 4;
 
+/// Stages that engines accept in one pipeline.
+constexpr std::size_t most_stages = 32;
+
 /// Share of a nearest candidate, against the flow that its engines could run:
 /// little, for the cover foresees their use already.
 constexpr double nearest_share = 0.01;
@@ -357,7 +360,14 @@
     {
         add_nearest(graph, found);
     }
-    return found.take();
+    std::vector<pipeline> candidates = found.take();
+    std::erase_if(
+        candidates,
+        [](const pipeline& candidate)
+        {
+            return candidate.stages.size() > most_stages;
+        });
+    return candidates;
 }
 
 pipeline find_cheapest(const stage_graph& graph)
--- a/source/routing/layer_layout.cpp
+++ b/source/routing/layer_layout.cpp
@@ -44,16 +44,23 @@
         }
         if (std::ranges::none_of(this->members, is_placed))
         {
-            this->split(this->all(), 0, this->layers);
+            for (const group& part : this->deal(this->copies()))
+            {
+                this->split(part, 0, this->layers);
+            }
             return std::move(this->steps);
         }
-        while (const auto hole = this->first_hole())
+        while (const auto hole = this->first_hole(1))
         {
             if (!this->fill(*hole))
             {
                 break;
             }
         }
+        for (std::uint32_t copy = 2; copy <= this->copies(); ++copy)
+        {
+            this->restore(copy);
+        }
         this->employ_empty();
         return std::move(this->steps);
     }
@@ -61,22 +68,9 @@
 private:
     using group = std::vector<layout_engine*>;
 
-    group all()
+    std::uint32_t capacity() const
     {
-        group everyone;
-        std::ranges::transform(
-            this->members,
-            std::back_inserter(everyone),
-            [](layout_engine& member)
-            {
-                return &member;
-            });
-        return everyone;
-    }
-
-    bool can_hold_model() const
-    {
-        const auto sum = std::accumulate(
+        return std::accumulate(
             this->members.begin(),
             this->members.end(),
             std::uint32_t{0},
@@ -84,7 +78,56 @@
             {
                 return total + member.most_layers;
             });
-        return sum >= this->layers;
+    }
+
+    bool can_hold_model() const
+    {
+        return this->capacity() >= this->layers;
+    }
+
+    std::uint32_t copies() const
+    {
+        const double room = this->capacity() * this->options.copies_fill;
+        return std::max(1U, static_cast<std::uint32_t>(room / this->layers));
+    }
+
+    /// Groups of about the same memory.
+    std::vector<group> deal(std::uint32_t count)
+    {
+        std::vector<layout_engine*> largest_first;
+        for (layout_engine& member : this->members)
+        {
+            largest_first.push_back(&member);
+        }
+        std::ranges::stable_sort(
+            largest_first, std::ranges::greater{}, &layout_engine::most_layers);
+        std::vector<group> groups(count);
+        std::vector<std::uint32_t> memory(count, 0);
+        for (layout_engine* member : largest_first)
+        {
+            const auto least = std::ranges::min_element(memory);
+            const auto index = static_cast<std::size_t>(least - memory.begin());
+            groups[index].push_back(member);
+            *least += member->most_layers;
+        }
+        for (group& part : groups)
+        {
+            std::ranges::sort(part, {}, &layout_engine::id);
+        }
+        return groups;
+    }
+
+    /// Fills what a copy lacks as far as that is cheap.
+    void restore(std::uint32_t copy)
+    {
+        while (const auto hole = this->first_hole(copy))
+        {
+            if (!this->fill_with_empty(*hole) &&
+                !this->fill_with_neighbours(*hole))
+            {
+                return;
+            }
+        }
     }
 
     std::uint32_t limit(const layout_engine& member) const
@@ -144,9 +187,10 @@
         }
     }
 
-    std::optional<layer_range> first_hole() const
+    /// First run of layers that fewer engines hold.
+    std::optional<layer_range> first_hole(std::uint32_t holders) const
     {
-        std::vector<bool> covered(this->layers, false);
+        std::vector<std::uint32_t> held(this->layers, 0);
         for (const layout_engine& member : this->members)
         {
             if (!member.held)
@@ -156,18 +200,22 @@
             const auto end = std::min(member.held->last.value(), this->layers);
             for (auto i = member.held->first.value(); i < end; ++i)
             {
-                covered[i] = true;
+                ++held[i];
             }
         }
-        const auto begin = std::ranges::find(covered, false);
-        if (begin == covered.end())
+        const auto is_short = [holders](std::uint32_t count)
+        {
+            return count < holders;
+        };
+        const auto begin = std::ranges::find_if(held, is_short);
+        if (begin == held.end())
         {
             return std::nullopt;
         }
-        const auto end = std::find(begin, covered.end(), true);
+        const auto end = std::find_if_not(begin, held.end(), is_short);
         return make_range(
-            static_cast<std::uint32_t>(begin - covered.begin()),
-            static_cast<std::uint32_t>(end - covered.begin()));
+            static_cast<std::uint32_t>(begin - held.begin()),
+            static_cast<std::uint32_t>(end - held.begin()));
     }
 
     bool fill(layer_range hole)
@@ -296,7 +344,7 @@
             }
         }
         this->split(placed, 0, this->layers);
-        return !this->first_hole();
+        return !this->first_hole(1);
     }
 
     static layer_range span_of(const group& window, layer_range hole)
--- a/source/routing/layer_layout.hpp
+++ b/source/routing/layer_layout.hpp
@@ -26,6 +26,9 @@
     /// Part of its layers' worth of memory that an engine may fill when it
     /// takes over lost layers; the rest stays for KV cache.
     double repair_fill = 0.85;
+    /// Part of a zone's memory that copies of the model may fill; a zone holds
+    /// as many as fit, and at least one.
+    double copies_fill = 0.62;
 };
 
 struct layout_step
@@ -36,12 +39,14 @@
     auto operator<=>(const layout_step&) const = default;
 };
 
-/// Orders that give every zone which can hold the whole model one copy of it,
-/// spread over all engines of the zone in proportion to their memory. Streams
-/// that stay in a zone use no pipe between zones, and the memory that is left
-/// is KV cache. After a loss the neighbours of the hole take it over, as each
-/// then loads a few layers only; a larger part of the zone is split anew only
-/// where the neighbours lack memory. Nothing is moved that need not be.
+/// Orders that give every zone which can hold the whole model as many copies as
+/// leave room for KV cache, each spread over its part of the engines of the
+/// zone in proportion to their memory. Streams that stay in a zone use no pipe
+/// between zones, and the memory that is left is KV cache. After a loss the
+/// neighbours of the hole take it over, as each then loads a few layers only,
+/// also where another copy still has them; a larger part of the zone is split
+/// anew only where the neighbours lack memory. Nothing is moved that need not
+/// be.
 ///
 /// Answers the load pattern of engines that crash or leave at full load.
 std::vector<layout_step> plan_layout(
--- a/source/routing/retry_budget.cpp
+++ b/source/routing/retry_budget.cpp
@@ -21,6 +21,13 @@
     return std::min(this->chosen.most, this->tokens + refilled);
 }
 
+void retry_budget::configure(const options& wanted, time_point now)
+{
+    this->tokens = std::min(this->left(now), wanted.most);
+    this->since = now;
+    this->chosen = wanted;
+}
+
 void retry_budget::credit(time_point now)
 {
     this->tokens = std::min(
--- a/source/routing/retry_budget.hpp
+++ b/source/routing/retry_budget.hpp
@@ -21,6 +21,9 @@
 
     retry_budget(const options& chosen, time_point now);
 
+    /// Takes other options from now on; what is left stays, up to the new most.
+    void configure(const options& wanted, time_point now);
+
     /// Counts a request towards the share.
     void credit(time_point now);
 
