--- a/source/control/duty_thread.cpp
+++ b/source/control/duty_thread.cpp
@@ -20,9 +20,13 @@
 } // namespace
 
 duty_thread::duty_thread(
-    lease_keeper keeper, work when_leading, std::function<void()> upkeep)
+    lease_keeper keeper,
+    work when_leading,
+    std::function<bool()> wants_lead,
+    std::function<void()> upkeep)
     : keeper{std::move(keeper)}
     , when_leading{std::move(when_leading)}
+    , wants_lead{std::move(wants_lead)}
     , upkeep{std::move(upkeep)}
 {
 }
@@ -77,8 +81,13 @@
 {
     if (give_back)
     {
+        this->given_back = true;
         this->keeper.release();
     }
+    if (!this->given_back)
+    {
+        this->keeper.set_candidate(this->wants_lead());
+    }
     this->keeper.step();
     const auto led = this->current();
     bool led_before = false;
@@ -118,7 +127,6 @@
         this->mutex.AssertHeld();
         return this->stopping || this->woken;
     };
-    bool given_back = false;
     while (true)
     {
         bool give_back = false;
@@ -131,9 +139,8 @@
                 return;
             }
             this->woken = false;
-            give_back = this->releasing && !given_back;
+            give_back = this->releasing && !this->given_back;
         }
-        given_back = given_back || give_back;
         this->step(give_back);
     }
 }
--- a/source/control/duty_thread.hpp
+++ b/source/control/duty_thread.hpp
@@ -26,9 +26,14 @@
     using work = std::function<bool(
         const leadership& led, const std::function<bool()>& still_leads)>;
 
-    /// `upkeep` is called about as often, whether this instance leads or not.
+    /// `wants_lead` says whether the duty lacks a leader: the lease is asked
+    /// for only then, as every look at it is a call that is paid for. `upkeep`
+    /// is called about as often, whether this instance leads or not.
     duty_thread(
-        lease_keeper keeper, work when_leading, std::function<void()> upkeep);
+        lease_keeper keeper,
+        work when_leading,
+        std::function<bool()> wants_lead,
+        std::function<void()> upkeep);
     ~duty_thread();
 
     duty_thread(const duty_thread&) = delete;
@@ -51,6 +56,7 @@
 
     lease_keeper keeper;
     const work when_leading;
+    const std::function<bool()> wants_lead;
     const std::function<void()> upkeep;
 
     mutable absl::Mutex mutex;
@@ -58,6 +64,7 @@
     bool woken ABSL_GUARDED_BY(mutex) = false;
     bool releasing ABSL_GUARDED_BY(mutex) = false;
     bool leading ABSL_GUARDED_BY(mutex) = false;
+    bool given_back = false;
     /// Number that was refused.
     std::optional<fencing_number> refused;
     std::thread thread;
--- a/source/control/layout_controller.cpp
+++ b/source/control/layout_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.hpp"
 #include "control/fleet_builder.hpp"
+#include "store/backoff.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -72,9 +73,7 @@
         {
             continue;
         }
-        const auto steps = plan_layout(
-            this->describe(*fleet, id, *service.engines),
-            service.engines->layers);
+        const auto steps = this->plan(*fleet, service);
         for (const layout_step& wanted : steps)
         {
             const auto server =
@@ -101,6 +100,44 @@
     return true;
 }
 
+std::vector<layout_step> layout_controller::plan(
+    const fleet_snapshot& fleet, const service_profile& service) const
+{
+    return plan_layout(
+        this->describe(fleet, service.id, *service.engines),
+        service.engines->layers);
+}
+
+bool layout_controller::lacks_leader()
+{
+    const auto config = this->board.traffic.load();
+    const auto fleet = this->board.fleet.load();
+    const time_point now = this->time.now();
+    const bool wants =
+        config && std::ranges::any_of(
+                      config->services,
+                      [this, &fleet](const auto& item)
+                      {
+                          const service_profile& service = item.second;
+                          return service.engines &&
+                                 service.engines->layers > 0 &&
+                                 !this->plan(*fleet, service).empty();
+                      });
+    if (!wants)
+    {
+        this->wanting_since.reset();
+        return false;
+    }
+    if (!this->wanting_since)
+    {
+        this->wanting_since = now;
+        this->patience =
+            this->options.leader_patience +
+            random_duration(this->options.leader_spread, this->random);
+    }
+    return now - *this->wanting_since >= this->patience;
+}
+
 bool layout_controller::has_settled(const fleet_snapshot& fleet, time_point now)
 {
     const auto held = std::ranges::any_of(
--- a/source/control/layout_controller.hpp
+++ b/source/control/layout_controller.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace fireflysail
@@ -20,6 +21,9 @@
     /// Engines enter the store one by one as a fleet starts; the first layout
     /// waits until no new one came for this long.
     duration settle_time = std::chrono::milliseconds{600};
+    /// A leader repairs in less; above it up to the spread is waited at random.
+    duration leader_patience = std::chrono::milliseconds{500};
+    duration leader_spread = std::chrono::seconds{2};
     /// Pause before an engine that did not take its order is tried again.
     duration retry_pause = std::chrono::milliseconds{400};
     /// An order without visible effect is given up after the time of its load,
@@ -46,6 +50,11 @@
     /// the fencing number.
     bool step(const leadership& led, const std::function<bool()>& still_leads);
 
+    /// True once layers have been missing for longer than a leader that lives
+    /// would let them. Instances come to it at different moments, so that few
+    /// ask the store for the lease. May be called whoever leads.
+    bool lacks_leader();
+
 private:
     struct pending_order
     {
@@ -57,6 +66,8 @@
         bool accepted = false;
     };
 
+    std::vector<layout_step>
+    plan(const fleet_snapshot& fleet, const service_profile& service) const;
     void forget_settled(const fleet_snapshot& fleet, time_point now);
     std::vector<layout_engine> describe(
         const fleet_snapshot& fleet,
@@ -75,6 +86,10 @@
     const clock& time;
     const layout_controller_options options;
     std::map<server_id, pending_order> pending;
+    /// Since when the layout wants orders.
+    std::optional<time_point> wanting_since;
+    duration patience{};
+    std::mt19937_64 random{std::random_device{}()};
     std::size_t engines_seen = 0;
     time_point last_new_engine{};
 };
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -136,6 +136,10 @@
               return this->layout.step(led, leads);
           },
           [this]
+          {
+              return this->layout.lacks_leader();
+          },
+          [this]
           {
               this->traffic.expire();
               this->note_store();
--- a/unit_tests/control/layout_controller_test.cpp
+++ b/unit_tests/control/layout_controller_test.cpp
@@ -206,3 +206,20 @@
             return item.first == server_id{"e2"};
         }));
 }
+
+TEST_CASE_METHOD(
+    fixture, "the lease is wanted only while layers stay without a leader")
+{
+    CHECK_FALSE(this->layout.lacks_leader());
+    this->time.advance(499ms);
+    CHECK_FALSE(this->layout.lacks_leader());
+    this->time.advance(2001ms);
+    CHECK(this->layout.lacks_leader());
+    this->step();
+    this->time.advance(600ms);
+    this->step();
+    this->carry_out();
+    CHECK_FALSE(this->layout.lacks_leader());
+    this->time.advance(1h);
+    CHECK_FALSE(this->layout.lacks_leader());
+}
--- a/unit_tests/routing/layer_layout_test.cpp
+++ b/unit_tests/routing/layer_layout_test.cpp
@@ -166,3 +166,30 @@
         check_whole(engines);
     }
 }
+
+TEST_CASE("a large zone holds several copies, each on part of its engines")
+{
+    std::vector<layout_engine> engines;
+    for (int i = 0; i < 40; ++i)
+    {
+        engines.push_back(
+            make("e" + std::to_string(100 + i), "a", i % 3 == 0 ? 8U : 12U));
+    }
+    carry_out(engines, plan_layout(engines, model_layers));
+    check_whole(engines);
+    std::vector<int> holders(model_layers, 0);
+    for (const layout_engine& one : engines)
+    {
+        REQUIRE(one.held);
+        for (auto i = one.held->first.value(); i < one.held->last.value(); ++i)
+        {
+            ++holders[i];
+        }
+    }
+    CHECK(std::ranges::min(holders) == 3);
+    // No pipeline over one copy has more stages than engines accept.
+    CHECK(engines.size() / 3 < 32);
+    engines.erase(engines.begin() + 5);
+    carry_out(engines, plan_layout(engines, model_layers));
+    check_whole(engines);
+}
--- a/unit_tests/routing/retry_budget_test.cpp
+++ b/unit_tests/routing/retry_budget_test.cpp
@@ -130,3 +130,13 @@
     CHECK(spread.quantile(0.99) < 15ms);
     CHECK(spread.quantile(0.5) >= 10ms);
 }
+
+TEST_CASE("a budget that is divided anew keeps no more than its new most")
+{
+    const time_point now{1h};
+    retry_budget budget{{0.1, 0, 10, 10}, now};
+    budget.configure({0.1, 0, 3, 3}, now);
+    CHECK(budget.left(now) == Approx(3));
+    budget.configure({0.1, 0, 10, 10}, now);
+    CHECK(budget.left(now) == Approx(3));
+}
