--- a/source/relay/stall_monitor.cpp
+++ b/source/relay/stall_monitor.cpp
@@ -13,9 +13,10 @@
 
 } // namespace
 
-stall_monitor::stall_monitor(asio::any_io_executor executor, const clock& time)
+stall_monitor::stall_monitor(
+    const asio::any_io_executor& executor, const clock& time)
     : time{time}
-    , timer{std::move(executor)}
+    , timer{executor}
     , watch{pipeline_watch::options{}}
 {
 }
@@ -23,11 +24,11 @@
 stall_monitor::run::run(
     stall_monitor& monitor,
     std::uint64_t pipeline,
-    std::function<bool()> on_silent)
+    const std::function<bool()>& on_silent)
     : monitor{monitor}
     , id{monitor.watch.begin(pipeline, monitor.time.now())}
 {
-    monitor.handlers.emplace(this->id, std::move(on_silent));
+    monitor.handlers.emplace(this->id, on_silent);
     monitor.schedule();
 }
 
--- a/source/relay/stall_monitor.hpp
+++ b/source/relay/stall_monitor.hpp
@@ -17,7 +17,7 @@
 class stall_monitor
 {
 public:
-    stall_monitor(asio::any_io_executor executor, const clock& time);
+    stall_monitor(const asio::any_io_executor& executor, const clock& time);
 
     stall_monitor(const stall_monitor&) = delete;
     stall_monitor& operator=(const stall_monitor&) = delete;
@@ -29,7 +29,7 @@
         /// `on_silent` is called until it returns true.
         run(stall_monitor& monitor,
             std::uint64_t pipeline,
-            std::function<bool()> on_silent);
+            const std::function<bool()>& on_silent);
         ~run();
 
         run(const run&) = delete;
--- /dev/null
+++ b/source/relay/stream_run.cpp
@@ -0,0 +1,347 @@
+#include "relay/stream_run.hpp"
+
+#include "backend/event_stream.hpp"
+#include "common/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Engines cut what depends on a dead one after the stall that the platform
+/// states; silence longer than that by this much is a lost connection.
+constexpr duration silence_margin = 300ms;
+
+/// Blames the engine that the answer names, or else the one that was asked.
+void exclude_failed(
+    stream_state& state,
+    const routed_pipeline& routed,
+    const answer_facts& facts)
+{
+    const auto named = std::ranges::find_if(
+        routed.stages,
+        [&facts](const stage_address& part)
+        {
+            return facts.failed_server && part.address == *facts.failed_server;
+        });
+    const auto& blamed =
+        named == routed.stages.end() ? routed.stages.front() : *named;
+    state.excluded.push_back(blamed.server);
+    state.served.relay.inquiry.report(
+        blamed.server, engine_fault::named_by_peer);
+}
+
+/// For the log and the metrics: several events that came together are one.
+void note_events(exchange& served)
+{
+    const time_point now = served.relay.time.now();
+    if (served.events > 0)
+    {
+        const duration gap = now - served.last_event_at;
+        served.longest_gap = std::max(served.longest_gap, gap);
+        served.relay.metrics.observe(
+            served.workspace,
+            request_class::standard,
+            request_time::between_tokens,
+            gap);
+    }
+    ++served.events;
+    served.last_event_at = now;
+}
+
+/// Forwards the whole events received; false when the caller is lost.
+asio::awaitable<bool>
+forward(stream_state& state, event_stream& events, std::string& out)
+{
+    out.clear();
+    while (const auto event = events.next_raw())
+    {
+        // A resumed run may begin with events that the caller has.
+        const bool is_known =
+            event->id && state.last_event && *event->id <= *state.last_event;
+        if (is_known)
+        {
+            continue;
+        }
+        out.append(event->text);
+        state.last_event = event->id ? event->id : state.last_event;
+    }
+    if (out.empty())
+    {
+        co_return true;
+    }
+    exchange& served = state.served;
+    state.fruitless = 0;
+    state.run->on_event();
+    note_events(served);
+    io_error failed;
+    if (state.header_sent)
+    {
+        failed = co_await served.caller.write_chunk(out);
+    }
+    else
+    {
+        state.header_sent = true;
+        served.first_event_after = served.relay.time.now() - served.received_at;
+        failed = co_await served.caller.write_first_chunk(*state.header, out);
+    }
+    co_return !failed;
+}
+
+asio::awaitable<stream_end>
+relay_events(stream_state& state, backend_connection& connection)
+{
+    exchange& served = state.served;
+    event_stream events;
+    std::string out;
+    std::array<char, 8192> part{};
+    io_deadline silence{
+        served.relay.executor,
+        served.relay.time,
+        [&connection]
+        {
+            connection.close();
+        }};
+    const duration longest_silence =
+        served.relay.node.bounds.stage_stall + silence_margin;
+    while (true)
+    {
+        silence.set(served.relay.time.now() + longest_silence);
+        const auto read = co_await connection.read_body(part);
+        silence.clear();
+        const bool fits = events.append({part.data(), read.bytes});
+        if (!fits || served.caller.has_left())
+        {
+            co_return served.caller.has_left() ? stream_end::caller_lost
+                                               : stream_end::broken;
+        }
+        const bool is_forwarded = co_await forward(state, events, out);
+        if (!is_forwarded)
+        {
+            co_return stream_end::caller_lost;
+        }
+        if (read.error || (read.is_last && events.has_partial()))
+        {
+            co_return stream_end::broken;
+        }
+        if (read.is_last)
+        {
+            co_return stream_end::whole;
+        }
+    }
+}
+
+asio::awaitable<stream_end>
+pass_on(stream_state& state, backend_connection& connection)
+{
+    exchange& served = state.served;
+    http_response answer;
+    answer.base() = connection.header();
+    std::array<char, 4096> part{};
+    while (true)
+    {
+        const auto read = co_await connection.read_body(part);
+        answer.body().append(part.data(), read.bytes);
+        if (read.error)
+        {
+            co_return stream_end::broken;
+        }
+        if (read.is_last)
+        {
+            break;
+        }
+    }
+    remove_connection_fields(answer);
+    answer.version(11);
+    answer.keep_alive(!served.must_close && !served.relay.draining);
+    answer.prepare_payload();
+    served.last_status = answer.result_int();
+    const io_error failed = co_await served.caller.write(answer);
+    if (failed)
+    {
+        served.must_close = true;
+    }
+    co_return stream_end::passed_on;
+}
+
+asio::awaitable<stream_end> read_stream(
+    stream_state& state,
+    const routed_pipeline& routed,
+    backend_connection& connection)
+{
+    exchange& served = state.served;
+    io_error failed;
+    {
+        io_deadline silence{
+            served.relay.executor,
+            served.relay.time,
+            [&connection]
+            {
+                connection.close();
+            }};
+        silence.set(
+            served.relay.time.now() + served.relay.node.bounds.stage_stall +
+            served.matched->latency_objective);
+        failed = co_await connection.read_header();
+    }
+    if (failed)
+    {
+        state.any_ran = true;
+        co_return stream_end::broken;
+    }
+    state.answered = true;
+    const auto& header = connection.header();
+    const auto facts =
+        served.relay.codec.read_answer(header.result_int(), header);
+    served.last_status = header.result_int();
+    if (facts.attempt != served.facts.attempt)
+    {
+        state.any_ran = true;
+        co_return stream_end::broken;
+    }
+    connection.idle_limit = facts.keep_alive;
+    if (facts.not_run)
+    {
+        exclude_failed(state, routed, facts);
+        co_return stream_end::refused;
+    }
+    state.any_ran = true;
+    const bool is_success = header.result() == http::status::ok;
+    if (!facts.stamped)
+    {
+        co_return stream_end::broken;
+    }
+    if (!is_success)
+    {
+        if (state.header_sent)
+        {
+            co_return stream_end::broken;
+        }
+        co_return co_await pass_on(state, connection);
+    }
+    if (!state.header)
+    {
+        state.header.emplace();
+        state.header->base() = header;
+        remove_connection_fields(*state.header);
+        state.header->erase(http::field::content_length);
+        state.header->version(11);
+        state.header->keep_alive(!served.must_close && !served.relay.draining);
+    }
+    co_return co_await relay_events(state, connection);
+}
+
+/// Keeps this and other requests off what broke the run.
+void blame(stream_state& state, const routed_pipeline& routed)
+{
+    exchange& served = state.served;
+    const server_id& first = routed.stages.front().server;
+    log::event(
+        log::level::warning,
+        log::channel::routing,
+        "run_broken",
+        {{"request", served.facts.attempt.str()},
+         {"server", first.str()},
+         {"silent", state.silenced},
+         {"last_event", state.last_event.value_or(0)},
+         {"status", served.last_status},
+         {"attempt", served.attempts}});
+    state.excluded.push_back(first);
+    if (state.silenced)
+    {
+        served.relay.inquiry.report_silence(first);
+    }
+    else
+    {
+        served.relay.inquiry.report(first, engine_fault::unreachable);
+    }
+}
+
+/// Ends the run if it may go on elsewhere; else it waits for its engines.
+bool leave_silent(stream_state& state, backend_connection& connection)
+{
+    exchange& served = state.served;
+    relay_context& relay = served.relay;
+    // The run in progress counts as well.
+    const bool may_leave =
+        state.ran_at.size() + 1 < served.matched->most_attempts;
+    if (!served.matched->resumable || !may_leave ||
+        !budget_of(relay, served.service).try_take(relay.time.now()))
+    {
+        return false;
+    }
+    state.silenced = true;
+    state.repeat_is_paid = true;
+    connection.close();
+    return true;
+}
+
+} // namespace
+
+asio::awaitable<stream_end>
+run_stream(stream_state& state, const routed_pipeline& routed)
+{
+    exchange& served = state.served;
+    relay_context& relay = served.relay;
+    const stage_address& first = routed.stages.front();
+    auto taken = relay.pool.take(first.address, work_kind::idempotent);
+    const bool is_open = co_await ensure_open(served, taken);
+    if (!is_open)
+    {
+        state.excluded.push_back(first.server);
+        relay.inquiry.report(first.server, engine_fault::unreachable);
+        co_return stream_end::unsent;
+    }
+    dispatch_facts facts;
+    facts.time_left = served.time_left();
+    facts.server = first.server;
+    facts.workspace = served.workspace;
+    facts.stages = routed.stages;
+    facts.last_event = state.last_event;
+    ++served.attempts;
+    served.last_server = first.server;
+    const pipeline_router::usage usage{relay.pipelines, routed.route};
+    served.current = taken.connection.get();
+    state.silenced = false;
+    state.answered = false;
+    stall_monitor::run run{
+        relay.stalls,
+        routed.route.key,
+        [&state, connection = taken.connection.get()]
+        {
+            return leave_silent(state, *connection);
+        }};
+    state.run = &run;
+    taken.connection->start_request(make_dispatch(served, facts));
+    const auto end = co_await read_stream(state, routed, *taken.connection);
+    state.run = nullptr;
+    served.current = nullptr;
+    const bool may_have_run =
+        end != stream_end::refused && end != stream_end::unsent;
+    if (may_have_run &&
+        std::ranges::find(state.ran_at, first.server) == state.ran_at.end())
+    {
+        state.ran_at.push_back(first.server);
+    }
+    if (end == stream_end::broken && !served.is_over())
+    {
+        blame(state, routed);
+        const bool no_answer = !state.silenced && !state.answered;
+        if (no_answer)
+        {
+            state.suspected =
+                co_await check_crash(served, first.server, first.address);
+        }
+    }
+    relay.pool.give_back(std::move(taken.connection));
+    co_return end;
+}
+
+} // namespace fireflysail
--- /dev/null
+++ b/source/relay/stream_run.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "relay/exchange.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace fireflysail
+{
+
+/// How one run of a stream on a pipeline ended.
+enum class stream_end
+{
+    whole,
+    /// The engine answered with another status than success; passed on.
+    passed_on,
+    /// An engine states that nothing ran.
+    refused,
+    /// No connection; nothing was sent.
+    unsent,
+    /// Broke off or fell silent.
+    broken,
+    /// The caller left or could not be written to.
+    caller_lost,
+};
+
+/// One stream over all its runs.
+struct stream_state
+{
+    explicit stream_state(exchange& served)
+        : served{served}
+        , last_event{served.facts.last_event}
+    {
+    }
+
+    exchange& served;
+    /// Header of the first engine that answered, kept for the whole answer.
+    std::optional<http_response> header;
+    bool header_sent = false;
+    std::optional<std::uint64_t> last_event;
+    int fruitless = 0;
+    std::vector<server_id> excluded;
+    /// First engines of the pipelines on which it ran.
+    std::vector<server_id> ran_at;
+    bool any_ran = false;
+    bool refused = false;
+    /// The current run was ended because its pipeline fell silent.
+    bool silenced = false;
+    /// The budget was charged for the next attempt already.
+    bool repeat_is_paid = false;
+    stall_monitor::run* run = nullptr;
+    /// The header of the current run's answer arrived.
+    bool answered = false;
+    /// Its last run ended with the crash of its engine.
+    bool suspected = false;
+};
+
+/// The operators bound the engines that one attempt of a caller runs on; those
+/// that are gone do not count.
+bool may_use_another_engine(const stream_state& state);
+
+/// Runs the stream on the pipeline and forwards its events.
+asio::awaitable<stream_end>
+run_stream(stream_state& state, const routed_pipeline& routed);
+
+} // namespace fireflysail
--- a/source/routing/layer_layout.cpp
+++ b/source/routing/layer_layout.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 namespace fireflysail
@@ -99,8 +100,13 @@
         {
             largest_first.push_back(&member);
         }
-        std::ranges::stable_sort(
-            largest_first, std::ranges::greater{}, &layout_engine::most_layers);
+        std::ranges::sort(
+            largest_first,
+            [](const layout_engine* a, const layout_engine* b)
+            {
+                return std::tie(b->most_layers, a->id) <
+                       std::tie(a->most_layers, b->id);
+            });
         std::vector<group> groups(count);
         std::vector<std::uint32_t> memory(count, 0);
         for (layout_engine* member : largest_first)
--- a/unit_tests/relay/plain_exchange_test.cpp
+++ b/unit_tests/relay/plain_exchange_test.cpp
@@ -9,7 +9,7 @@
 
 using numbered = std::size_t;
 
-scripted_server::script always(scripted_answer answer)
+scripted_server::script always(const scripted_answer& answer)
 {
     return [answer](numbered, const http_request&)
     {
