--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -26,6 +26,9 @@
 
 constexpr duration drain_poll = 50ms;
 
+/// The node file is read again this often.
+constexpr duration reload_interval = 30s;
+
 /// Idle connections are looked through this often.
 constexpr duration upkeep_interval = 1s;
 
@@ -204,6 +207,7 @@
     this->servers_watch.start();
     this->crashes_watch.start();
     this->duty.start();
+    this->next_reload = this->time.now() + reload_interval;
     this->keep_up();
     log::event(
         log::level::info,
@@ -218,6 +222,13 @@
 void relay_process::keep_up()
 {
     this->pool.close_idle();
+    const time_point now = this->time.now();
+    if (now >= this->next_reload)
+    {
+        // The file may change without a signal.
+        this->next_reload = now + reload_interval;
+        this->on_reload();
+    }
     if (this->census.count() > 0)
     {
         set_instances(this->relay, this->census.count());
@@ -350,11 +361,16 @@
 void relay_process::on_reload()
 {
     const auto read = this->adapter.reload();
+    const bool changed = read && read->bounds != this->settings.bounds;
+    if (changed)
+    {
+        this->settings.bounds = read->bounds;
+    }
     log::event(
         read ? log::level::info : log::level::error,
         log::channel::main,
         "reloaded",
-        {{"valid", read.has_value()}});
+        {{"valid", read.has_value()}, {"changed", changed}});
 }
 
 void relay_process::on_stop()
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -50,6 +50,8 @@
     std::string metrics_text() const;
     void wait_for_signal();
     void on_stop();
+    /// Takes the bounds that the node file states now; addresses stay as they
+    /// were at the start.
     void on_reload();
     void drain();
     void keep_up();
@@ -61,7 +63,7 @@
     /// Tells in the log when the store is lost and regained.
     void note_store();
 
-    const node_settings settings;
+    node_settings settings;
     platform_adapter adapter;
     const boot_clock time;
     const time_point started_at;
@@ -89,6 +91,7 @@
     asio::signal_set signals;
     asio::steady_timer drain_timer;
     asio::steady_timer upkeep_timer;
+    time_point next_reload{};
     time_point drain_began{};
     bool accepts = true;
 
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -25,6 +25,7 @@
 
 /// Output that is expected of a request that says nothing of it.
 constexpr std::uint32_t default_output_tokens = 150;
+
 route_request describe(const stream_state& state)
 {
     const request_facts& facts = state.served.facts;
--- a/source/settings/node_settings.hpp
+++ b/source/settings/node_settings.hpp
@@ -38,6 +38,8 @@
     duration stage_stall = std::chrono::seconds{2};
     /// Interval at which backend servers renew their entries in the store.
     duration server_heartbeat = std::chrono::milliseconds{1200};
+
+    bool operator==(const service_bounds&) const = default;
 };
 
 /// What an instance on the platform is told when it starts.
