Common, control: last log lines and untold crashes are kept

Cause, log: at a planned stop the writer was destroyed while watches and duties could still log through it; seen in reading. Now it stays until the process is gone, and the end waits at most 200 ms for what is queued, also when nobody reads standard output: the test hung in the writer's destructor before. Cause, crashes: publish dropped what a failed call should have told. The new test fails without the change.

--- a/source/common/log.cpp
+++ b/source/common/log.cpp
@@ -15,6 +15,7 @@
 #include <iterator>
 #include <memory>
 #include <mutex>
+#include <thread>
 
 namespace fireflysail::log
 {
@@ -126,6 +127,10 @@
     return written;
 }
 
+/// The end of a process waits no longer than this for its last lines.
+constexpr std::chrono::milliseconds longest_drain{200};
+constexpr std::chrono::milliseconds drain_poll{2};
+
 /// Hands lines to a thread that writes them to standard output.
 class background_writer
 {
@@ -155,18 +160,34 @@
         return this->pool->overrun_counter();
     }
 
+    /// Waits until what was queued is written, for a bounded time, as standard
+    /// output may have no reader.
+    void drain() const
+    {
+        // The last in the queue, so that every line before it is written once
+        // it was taken.
+        this->logger->flush();
+        const auto end = std::chrono::steady_clock::now() + longest_drain;
+        while (this->pool->queue_size() > 0 &&
+               std::chrono::steady_clock::now() < end)
+        {
+            std::this_thread::sleep_for(drain_poll);
+        }
+    }
+
 private:
     std::shared_ptr<spdlog::details::thread_pool> pool;
     std::shared_ptr<spdlog::async_logger> logger;
 };
 
-std::unique_ptr<background_writer> background;
+/// Never destroyed, as threads may log until the process is gone.
+std::atomic<background_writer*> background{nullptr};
 
 void emit(std::string line)
 {
-    if (background)
+    if (background_writer* const writer = background.load())
     {
-        background->write(line);
+        writer->write(line);
         return;
     }
     // One call, so that lines of several threads do not mix.
@@ -273,17 +294,21 @@
 
 void start_background_output()
 {
-    background = std::make_unique<background_writer>();
+    background.store(std::make_unique<background_writer>().release());
 }
 
-void stop_background_output()
+void finish_background_output()
 {
-    background.reset();
+    if (const background_writer* const writer = background.load())
+    {
+        writer->drain();
+    }
 }
 
 std::uint64_t dropped_lines()
 {
-    const std::uint64_t overrun = background ? background->overrun() : 0;
+    const background_writer* const writer = background.load();
+    const std::uint64_t overrun = writer != nullptr ? writer->overrun() : 0;
     return dropped.load(std::memory_order_relaxed) + overrun;
 }
 
--- a/source/common/log.hpp
+++ b/source/common/log.hpp
@@ -52,8 +52,9 @@
 /// so are those above the rate; their number is told by dropped_lines().
 void start_background_output();
 
-/// Writes what is queued and ends the thread.
-void stop_background_output();
+/// Waits a bounded time until what is queued is written. Threads may go on
+/// logging.
+void finish_background_output();
 
 /// Lines that were not written since the start.
 std::uint64_t dropped_lines();
--- a/source/control/crash_registry.cpp
+++ b/source/control/crash_registry.cpp
@@ -84,15 +84,18 @@
         const auto told = this->objects.create(
             {kind, name_of(print)}, "1", this->time.now() + store_call_time);
         // Another instance may have told of it before.
-        if (!told && told.error() != errc::conflict)
+        if (told || told.error() == errc::conflict)
         {
-            log::event(
-                log::level::warning,
-                log::channel::control,
-                "crash_suspicion_untold",
-                {{"fingerprint", name_of(print)},
-                 {"error", told.error().message()}});
+            continue;
         }
+        log::event(
+            log::level::warning,
+            log::channel::control,
+            "crash_suspicion_untold",
+            {{"fingerprint", name_of(print)},
+             {"error", told.error().message()}});
+        const absl::MutexLock lock{&this->mutex};
+        this->untold.push_back(print);
     }
 }
 
--- a/source/control/crash_registry.hpp
+++ b/source/control/crash_registry.hpp
@@ -29,7 +29,8 @@
     /// The server was lost while it began to run the request.
     void on_crash(const server_id& server, fingerprint print);
 
-    /// Tells the store what was found here; blocks for its calls.
+    /// Tells the store what was found here, and what an earlier call could
+    /// not tell; blocks for its calls.
     void publish();
 
     std::vector<std::string> kinds() const override;
--- a/source/main/relay_command.cpp
+++ b/source/main/relay_command.cpp
@@ -74,7 +74,7 @@
              return read == nullptr ? std::nullopt : std::optional{*read};
          }}};
     const bool served = process.run();
-    log::stop_background_output();
+    log::finish_background_output();
     return served ? exit_code::ok : exit_code::failure;
 }
 
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -410,7 +410,7 @@
             log::channel::main,
             "stopped",
             {{"cut_off", this->relay.active_requests}});
-        log::stop_background_output();
+        log::finish_background_output();
         // The watches' threads wait for the store longer than is left.
         std::_Exit(EXIT_SUCCESS);
     }
--- a/unit_tests/control/crash_registry_test.cpp
+++ b/unit_tests/control/crash_registry_test.cpp
@@ -1,10 +1,12 @@
 #include "control/crash_registry.hpp"
 
+#include "control/store_decorator.hpp"
 #include "store_model.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace fireflysail;
+using namespace fireflysail::testing;
 using namespace std::chrono_literals;
 
 namespace
@@ -16,7 +18,8 @@
 {
     manual_clock time;
     store_model objects{time};
-    crash_registry here{objects, time};
+    store_decorator interposed{objects};
+    crash_registry here{interposed, time};
     crash_registry there{objects, time};
 
     /// What the store holds reaches the other instance.
@@ -59,3 +62,15 @@
     this->time.advance(12s);
     CHECK(this->here.judge(poison).standing == crash_standing::normal);
 }
+
+TEST_CASE_METHOD(
+    fixture, "a crash that the store was not told of is told at the next call")
+{
+    this->interposed.refuse_writes_of = crash_registry::kind;
+    this->here.on_crash(server_id{"e1"}, poison);
+    this->share();
+    CHECK(this->there.judge(poison).standing == crash_standing::normal);
+    this->interposed.refuse_writes_of.clear();
+    this->share();
+    CHECK(this->there.judge(poison).standing == crash_standing::suspect);
+}
