Routing: an engine that refuses though it has room counts as lost

Change: the third refusal in a row, while inquiries find room, confirms the loss; after a rest of 3 s the engine is tried again. Ruled out: refusals alone, as an engine whose memory is full refuses as well. The tests of layout_controller failed without it.

--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -13,6 +13,17 @@
 /// Inquiries in one call: bounds how long it blocks when a whole zone is gone.
 constexpr std::size_t most_inquiries = 4;
 
+/// An engine whose KV cache is fuller than this part may refuse for want of
+/// memory; what it reports is some hundred milliseconds old.
+constexpr double full_share = 0.7;
+
+bool has_room(const engine_condition& report)
+{
+    return !report.busy && static_cast<double>(report.kv_used) <
+                               full_share *
+                                   static_cast<double>(report.kv_total);
+}
+
 } // namespace
 
 engine_inquiry::engine_inquiry(
@@ -119,7 +130,7 @@
             log::channel::routing,
             "engine_unanswered",
             {{"server", server.id.str()},
-             {"lost", this->faults.is_confirmed(server.id)}});
+             {"lost", this->faults.is_confirmed(server.id, this->time.now())}});
         return;
     }
     const engine_condition& report = answer.value();
@@ -145,7 +156,8 @@
     if (holds_layers && report.stalled.empty())
     {
         const absl::MutexLock lock{&this->mutex};
-        this->faults.inquiry_answered(server.id, this->time.now());
+        this->faults.inquiry_answered(
+            server.id, has_room(report), this->time.now());
     }
 }
 
@@ -166,19 +178,20 @@
 bool engine_inquiry::is_lost(const server_id& server) const
 {
     const absl::MutexLock lock{&this->mutex};
-    return this->faults.is_confirmed(server);
+    return this->faults.is_confirmed(server, this->time.now());
 }
 
 std::vector<server_id> engine_inquiry::lost() const
 {
     const absl::MutexLock lock{&this->mutex};
-    auto servers = this->faults.avoided(this->time.now());
+    const time_point now = this->time.now();
+    auto servers = this->faults.avoided(now);
     std::erase_if(
         servers,
-        [this](const server_id& server)
+        [this, now](const server_id& server)
         {
             this->mutex.AssertReaderHeld();
-            return !this->faults.is_confirmed(server);
+            return !this->faults.is_confirmed(server, now);
         });
     return servers;
 }
--- a/source/routing/engine_faults.cpp
+++ b/source/routing/engine_faults.cpp
@@ -24,12 +24,19 @@
     known.length =
         is_new ? this->chosen.first_suspicion
                : std::min(known.length * 2, this->chosen.longest_suspicion);
+    if (is_new || fault != engine_fault::named_by_peer)
+    {
+        known.refusals = 0;
+        known.has_room = false;
+    }
+    known.refusals += fault == engine_fault::named_by_peer ? 1 : 0;
     known.fault = fault;
     known.until = now + known.length;
     ++this->changes;
 }
 
-void engine_faults::inquiry_answered(const server_id& server, time_point now)
+void engine_faults::inquiry_answered(
+    const server_id& server, bool has_room, time_point now)
 {
     const auto found = this->records.find(server);
     if (found == this->records.end())
@@ -43,6 +50,8 @@
         known.until = std::min(known.until, now);
     }
     known.failed_inquiries = 0;
+    known.has_room = has_room;
+    known.refusals = has_room ? known.refusals : 0;
     ++this->changes;
 }
 
@@ -60,7 +69,7 @@
     std::vector<server_id> servers;
     for (const auto& [server, known] : this->records)
     {
-        if (now < known.until || this->is_confirmed(server))
+        if (now < known.until || this->is_lost(known, now))
         {
             servers.push_back(server);
         }
@@ -83,11 +92,19 @@
     return due;
 }
 
-bool engine_faults::is_confirmed(const server_id& server) const
+bool engine_faults::is_confirmed(const server_id& server, time_point now) const
 {
     const auto known = this->records.find(server);
-    return known != this->records.end() &&
-           known->second.failed_inquiries >= this->chosen.inquiries_to_confirm;
+    return known != this->records.end() && this->is_lost(known->second, now);
+}
+
+bool engine_faults::is_lost(const record& known, time_point now) const
+{
+    const bool refuses =
+        known.refusals >= this->chosen.refusals_to_confirm && known.has_room &&
+        now < known.until + this->chosen.refusal_rest;
+    return refuses ||
+           known.failed_inquiries >= this->chosen.inquiries_to_confirm;
 }
 
 std::uint64_t engine_faults::version() const
--- a/source/routing/engine_faults.hpp
+++ b/source/routing/engine_faults.hpp
@@ -43,6 +43,12 @@
         int inquiries_to_confirm = 2;
         /// Pause between two inquiries about one engine.
         duration inquiry_pause = std::chrono::milliseconds{300};
+        /// Refusals in a row, each in a suspicion of its own, that confirm that
+        /// an engine with room for requests takes none any more.
+        int refusals_to_confirm = 3;
+        /// An engine that only refused is tried again so long after its last
+        /// suspicion ended.
+        duration refusal_rest = std::chrono::seconds{3};
     };
 
     explicit engine_faults(const options& chosen);
@@ -52,7 +58,9 @@
     /// The engine answered an inquiry and holds what it should. Ends a
     /// suspicion that rested on silence; one that rests on what a peer or a
     /// connection told runs out by itself, as a draining engine answers too.
-    void inquiry_answered(const server_id& server, time_point now);
+    /// `has_room` tells a draining engine from one whose memory is full.
+    void inquiry_answered(
+        const server_id& server, bool has_room, time_point now);
 
     /// An inquiry got no answer: the engine stays out until it answers one.
     void inquiry_failed(const server_id& server, time_point now);
@@ -63,8 +71,9 @@
     /// Engines that an inquiry should ask now; counts as asked.
     std::vector<server_id> take_due_inquiries(time_point now);
 
-    /// Enough inquiries failed: its layers count as lost.
-    bool is_confirmed(const server_id& server) const;
+    /// Enough inquiries failed, or it refuses though it has room: its layers
+    /// count as lost.
+    bool is_confirmed(const server_id& server, time_point now) const;
 
     /// Grows with each change of what is avoided or confirmed.
     std::uint64_t version() const;
@@ -88,9 +97,14 @@
         time_point until;
         duration length{};
         int failed_inquiries = 0;
+        int refusals = 0;
+        /// An inquiry since the first refusal found room.
+        bool has_room = false;
         time_point next_inquiry;
     };
 
+    bool is_lost(const record& known, time_point now) const;
+
     options chosen;
     absl::flat_hash_map<server_id, record> records;
     std::uint64_t changes = 0;
--- a/unit_tests/control/layout_controller_test.cpp
+++ b/unit_tests/control/layout_controller_test.cpp
@@ -27,6 +27,12 @@
         }
         engine_condition report;
         report.orders_accepted = this->orders_before;
+        report.kv_total = 1000;
+        report.kv_used = this->kv_used;
+        for (const held_layers& range : this->reported)
+        {
+            report.layers.push_back(range);
+        }
         return report;
     }
 
@@ -40,6 +46,8 @@
     std::vector<std::pair<server_id, placement_order>> ordered;
     std::map<server_id, bool> dead;
     std::uint64_t orders_before = 3;
+    std::uint64_t kv_used = 100;
+    std::vector<held_layers> reported;
     order_answer answer = order_answer::accepted;
 };
 
@@ -223,3 +231,49 @@
     this->time.advance(1h);
     CHECK_FALSE(this->layout.lacks_leader());
 }
+
+namespace
+{
+
+/// Requests that e2 refuses over 3 s, with inquiries in between.
+void refuse_at_e2(fixture& at)
+{
+    for (int i = 0; i < 12; ++i)
+    {
+        at.inquiry.report(server_id{"e2"}, engine_fault::named_by_peer);
+        at.inquiry.ask();
+        at.time.advance(250ms);
+    }
+    at.step();
+}
+
+} // namespace
+
+TEST_CASE_METHOD(
+    fixture, "layers of an engine that leaves unseen go to its neighbours")
+{
+    this->step();
+    this->time.advance(600ms);
+    this->step();
+    this->carry_out();
+    this->engines.reported = {{{}, model_version{"1"}}};
+    this->engines.ordered.clear();
+    refuse_at_e2(*this);
+    CHECK(this->inquiry.lost() == std::vector{server_id{"e2"}});
+    CHECK_FALSE(this->engines.ordered.empty());
+}
+
+TEST_CASE_METHOD(
+    fixture, "an engine that refuses for want of memory keeps its layers")
+{
+    this->step();
+    this->time.advance(600ms);
+    this->step();
+    this->carry_out();
+    this->engines.reported = {{{}, model_version{"1"}}};
+    this->engines.kv_used = 950;
+    this->engines.ordered.clear();
+    refuse_at_e2(*this);
+    CHECK(this->inquiry.lost().empty());
+    CHECK(this->engines.ordered.empty());
+}
