--- a/source/control/duty_thread.cpp
+++ b/source/control/duty_thread.cpp
@@ -86,7 +86,8 @@
     }
     if (!this->given_back)
     {
-        this->keeper.set_candidate(this->wants_lead());
+        this->keeper.set_candidate(
+            this->current().has_value() || this->wants_lead());
     }
     this->keeper.step();
     const auto led = this->current();
--- a/source/control/layout_controller.cpp
+++ b/source/control/layout_controller.cpp
@@ -62,6 +62,7 @@
     const auto config = this->board.traffic.load();
     const auto fleet = this->board.fleet.load();
     const time_point now = this->time.now();
+    this->wanting_since.reset();
     if (!config || !this->has_settled(*fleet, now))
     {
         return true;
--- a/source/control/leader_lease.cpp
+++ b/source/control/leader_lease.cpp
@@ -59,7 +59,6 @@
                        : record.fence;
     if (this->releasing)
     {
-        this->own.reset();
         record.released = true;
         return this->write(std::move(record), this->seen->version, now);
     }
@@ -160,7 +159,7 @@
 
 std::optional<leadership> leader_lease::held(time_point now) const
 {
-    if (!this->own || now >= this->own->valid_until)
+    if (this->releasing || !this->own || now >= this->own->valid_until)
     {
         return std::nullopt;
     }
--- a/source/control/leader_lease.hpp
+++ b/source/control/leader_lease.hpp
@@ -88,7 +88,9 @@
     /// safety; it keeps the store's calls few.
     void set_candidate(bool wanted);
 
-    /// Give the lease back with the next write and take no other.
+    /// Give the lease back with the next write and take no other. `held` ends
+    /// at once, `latest` once the store has confirmed it: nobody else can lead
+    /// before that.
     void release();
 
     /// What to do now. After a write, `now` counts as the moment before it was
--- a/unit_tests/control/leader_lease_test.cpp
+++ b/unit_tests/control/leader_lease_test.cpp
@@ -303,3 +303,31 @@
     this->a.keeper.step();
     CHECK_FALSE(this->a.keeper.latest());
 }
+
+TEST_CASE("a lease that the store does not take back is led on under its fence")
+{
+    const auto at = [](duration since_start)
+    {
+        return time_point{} + since_start;
+    };
+    leader_lease lease{instance_id{"a"}, "life"};
+    REQUIRE(std::holds_alternative<read_lease>(lease.next(at(0s))));
+    lease.on_read(std::optional<observed_lease>{}, at(0s));
+    REQUIRE(std::holds_alternative<write_lease>(lease.next(at(11s))));
+    lease.on_written(revision{7}, at(11s));
+    lease.release();
+    REQUIRE(std::holds_alternative<write_lease>(lease.next(at(12s))));
+    lease.on_written(errc::unavailable, at(13s));
+    CHECK_FALSE(lease.held(at(13s)));
+    REQUIRE(lease.latest());
+    CHECK(lease.latest()->fence == fencing_number{7});
+
+    // The write had taken effect: its answer was lost.
+    REQUIRE(std::holds_alternative<read_lease>(lease.next(at(14s))));
+    lease.on_read(
+        std::optional{observed_lease{
+            {instance_id{"a"}, "life", 2, fencing_number{7}, true},
+            revision{8}}},
+        at(14s));
+    CHECK_FALSE(lease.latest());
+}
