Routing: a refusal and the engine's own word that it leaves confirm its loss

Change: an inquiry about an engine that refused asks its health as well; a refusal and a health answer that it takes nothing confirm the loss at once. Either alone does not: health answers may be false, and full engines refuse. The tests failed before.

--- a/scripts/platform_world.py
+++ b/scripts/platform_world.py
@@ -175,6 +175,9 @@
                 {"Sequence": self.orders, "Busy": False, "born": 1000,
                  "Layers": self.held()}).encode())
             return True
+        if target == "/health":
+            answer(writer, 200)
+            return True
         if target == "/fireflysail/order":
             order = json.loads(body)
             self.layers = (order["From"], order["Target"])
--- a/source/control/engine_control.hpp
+++ b/source/control/engine_control.hpp
@@ -78,6 +78,10 @@
 
     virtual result<engine_condition> status(const engine& server) = 0;
 
+    /// Whether it says that it takes requests; a draining engine does not.
+    /// What engines say of their health may be false.
+    virtual result<bool> takes_requests(const engine& server) = 0;
+
     virtual order_answer
     place(const engine& server, const placement_order& order) = 0;
 };
--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -155,12 +155,38 @@
     const bool holds_layers = server.holdings.empty() || !report.layers.empty();
     if (holds_layers && report.stalled.empty())
     {
+        const engine_standing standing = this->standing_of(server, report);
         const absl::MutexLock lock{&this->mutex};
-        this->faults.inquiry_answered(
-            server.id, has_room(report), this->time.now());
+        this->faults.inquiry_answered(server.id, standing, this->time.now());
     }
 }
 
+engine_standing engine_inquiry::standing_of(
+    const engine& server, const engine_condition& report)
+{
+    if (!has_room(report))
+    {
+        return engine_standing::busy;
+    }
+    {
+        const absl::MutexLock lock{&this->mutex};
+        if (!this->faults.refuses(server.id, this->time.now()))
+        {
+            return engine_standing::ready;
+        }
+    }
+    const auto takes_requests = this->engines.takes_requests(server);
+    const bool leaves = takes_requests && !takes_requests.value();
+    log::event(
+        log::level::info,
+        log::channel::routing,
+        "refusing_engine_asked",
+        {{"server", server.id.str()},
+         {"answered", takes_requests.has_value()},
+         {"leaves", leaves}});
+    return leaves ? engine_standing::leaving : engine_standing::ready;
+}
+
 const engine*
 engine_inquiry::find(const fleet_snapshot& fleet, const endpoint& address) const
 {
--- a/source/control/engine_inquiry.hpp
+++ b/source/control/engine_inquiry.hpp
@@ -46,6 +46,8 @@
 
 private:
     void settle(const engine& server, const result<engine_condition>& answer);
+    engine_standing
+    standing_of(const engine& server, const engine_condition& report);
     const engine*
     find(const fleet_snapshot& fleet, const endpoint& address) const;
 
--- a/source/routing/engine_faults.cpp
+++ b/source/routing/engine_faults.cpp
@@ -36,7 +36,7 @@
 }
 
 void engine_faults::inquiry_answered(
-    const server_id& server, bool has_room, time_point now)
+    const server_id& server, engine_standing standing, time_point now)
 {
     const auto found = this->records.find(server);
     if (found == this->records.end())
@@ -50,8 +50,16 @@
         known.until = std::min(known.until, now);
     }
     known.failed_inquiries = 0;
-    known.has_room = has_room;
-    known.refusals = has_room ? known.refusals : 0;
+    known.has_room = standing != engine_standing::busy;
+    if (standing == engine_standing::busy)
+    {
+        known.refusals = 0;
+    }
+    if (standing == engine_standing::leaving && known.refusals > 0)
+    {
+        known.refusals =
+            std::max(known.refusals, this->chosen.refusals_to_confirm);
+    }
     ++this->changes;
 }
 
@@ -64,6 +72,13 @@
     ++this->changes;
 }
 
+bool engine_faults::refuses(const server_id& server, time_point now) const
+{
+    const auto known = this->records.find(server);
+    return known != this->records.end() && known->second.refusals > 0 &&
+           now < known->second.until;
+}
+
 std::vector<server_id> engine_faults::avoided(time_point now) const
 {
     std::vector<server_id> servers;
--- a/source/routing/engine_faults.hpp
+++ b/source/routing/engine_faults.hpp
@@ -23,6 +23,17 @@
     in_silent_pipeline,
 };
 
+/// What an engine that answers an inquiry is found to be.
+enum class engine_standing
+{
+    ready,
+    /// Its memory is full, or an order is being carried out: it refuses for
+    /// a while.
+    busy,
+    /// It says itself that it takes no requests.
+    leaving,
+};
+
 /// Engines that requests should avoid for now, before the store says so: an
 /// entry outlives its engine by several heartbeats, while every request that
 /// is sent through it waits in vain. A suspicion ends by itself unless it is
@@ -58,9 +69,14 @@
     /// The engine answered an inquiry and holds what it should. Ends a
     /// suspicion that rested on silence; one that rests on what a peer or a
     /// connection told runs out by itself, as a draining engine answers too.
-    /// `has_room` tells a draining engine from one whose memory is full.
+    /// One that refused and says that it leaves is lost at once; either sign
+    /// alone may be false.
     void inquiry_answered(
-        const server_id& server, bool has_room, time_point now);
+        const server_id& server, engine_standing standing, time_point now);
+
+    /// Whether requests were refused by it lately, so that an inquiry should
+    /// ask whether it takes any.
+    bool refuses(const server_id& server, time_point now) const;
 
     /// An inquiry got no answer: the engine stays out until it answers one.
     void inquiry_failed(const server_id& server, time_point now);
--- a/unit_tests/control/layout_controller_test.cpp
+++ b/unit_tests/control/layout_controller_test.cpp
@@ -36,6 +36,11 @@
         return report;
     }
 
+    result<bool> takes_requests(const engine& server) override
+    {
+        return !this->leaving.contains(server.id);
+    }
+
     order_answer
     place(const engine& server, const placement_order& order) override
     {
@@ -45,6 +50,7 @@
 
     std::vector<std::pair<server_id, placement_order>> ordered;
     std::map<server_id, bool> dead;
+    std::map<server_id, bool> leaving;
     std::uint64_t orders_before = 3;
     std::uint64_t kv_used = 100;
     std::vector<held_layers> reported;
@@ -277,3 +283,17 @@
     CHECK(this->inquiry.lost().empty());
     CHECK(this->engines.ordered.empty());
 }
+
+TEST_CASE_METHOD(
+    fixture, "one refusal is enough when the engine says that it leaves")
+{
+    this->step();
+    this->time.advance(600ms);
+    this->step();
+    this->carry_out();
+    this->engines.reported = {{{}, model_version{"1"}}};
+    this->engines.leaving[server_id{"e2"}] = true;
+    this->inquiry.report(server_id{"e2"}, engine_fault::named_by_peer);
+    this->inquiry.ask();
+    CHECK(this->inquiry.lost() == std::vector{server_id{"e2"}});
+}
--- a/unit_tests/relay/relay_fixture.cpp
+++ b/unit_tests/relay/relay_fixture.cpp
@@ -119,6 +119,11 @@
     return errc::unavailable;
 }
 
+result<bool> silent_engines::takes_requests(const engine&)
+{
+    return errc::unavailable;
+}
+
 order_answer silent_engines::place(const engine&, const placement_order&)
 {
     return order_answer::not_sent;
--- a/unit_tests/relay/relay_fixture.hpp
+++ b/unit_tests/relay/relay_fixture.hpp
@@ -17,6 +17,8 @@
 public:
     result<engine_condition> status(const engine& server) override;
 
+    result<bool> takes_requests(const engine& server) override;
+
     order_answer
     place(const engine& server, const placement_order& order) override;
 };
--- a/unit_tests/routing/engine_faults_test.cpp
+++ b/unit_tests/routing/engine_faults_test.cpp
@@ -57,7 +57,7 @@
     faults.inquiry_failed(engine_a, start + 500ms);
     CHECK(faults.is_confirmed(engine_a, start));
     CHECK(faults.avoided(start + 1h) == std::vector{engine_a});
-    faults.inquiry_answered(engine_a, true, start + 1h);
+    faults.inquiry_answered(engine_a, engine_standing::ready, start + 1h);
     CHECK_FALSE(faults.is_confirmed(engine_a, start));
     CHECK(faults.avoided(start + 1h).empty());
 }
@@ -66,12 +66,12 @@
 {
     engine_faults faults{{}};
     faults.report(engine_a, engine_fault::in_silent_pipeline, start);
-    faults.inquiry_answered(engine_a, true, start + 10ms);
+    faults.inquiry_answered(engine_a, engine_standing::ready, start + 10ms);
     CHECK(faults.avoided(start + 10ms).empty());
     // A draining engine answers, and refuses requests all the same.
     const server_id draining{"b"};
     faults.report(draining, engine_fault::named_by_peer, start);
-    faults.inquiry_answered(draining, true, start + 10ms);
+    faults.inquiry_answered(draining, engine_standing::ready, start + 10ms);
     CHECK(faults.avoided(start + 10ms) == std::vector{draining});
 }
 
@@ -92,13 +92,13 @@
 
 /// Requests are refused again and again, each time when the suspicion before
 /// has just run out; inquiries are answered in between.
-time_point refuse(engine_faults& faults, int times, bool has_room)
+time_point refuse(engine_faults& faults, int times, engine_standing standing)
 {
     time_point now = start;
     for (int i = 0; i < times; ++i)
     {
         faults.report(engine_a, engine_fault::named_by_peer, now);
-        faults.inquiry_answered(engine_a, has_room, now + 100ms);
+        faults.inquiry_answered(engine_a, standing, now + 100ms);
         now += 3s;
     }
     return now - 3s;
@@ -109,24 +109,24 @@
 TEST_CASE("an engine that has room and refuses on is lost")
 {
     engine_faults faults{{}};
-    const time_point second = refuse(faults, 2, true);
+    const time_point second = refuse(faults, 2, engine_standing::ready);
     CHECK_FALSE(faults.is_confirmed(engine_a, second));
     engine_faults refusing{{}};
-    const time_point third = refuse(refusing, 3, true);
+    const time_point third = refuse(refusing, 3, engine_standing::ready);
     CHECK(refusing.is_confirmed(engine_a, third));
 }
 
 TEST_CASE("an engine whose memory is full is not lost")
 {
     engine_faults faults{{}};
-    const time_point last = refuse(faults, 6, false);
+    const time_point last = refuse(faults, 6, engine_standing::busy);
     CHECK_FALSE(faults.is_confirmed(engine_a, last));
 }
 
 TEST_CASE("an engine that refused is tried again after a rest")
 {
     engine_faults faults{{}};
-    const time_point last = refuse(faults, 3, true);
+    const time_point last = refuse(faults, 3, engine_standing::ready);
     // The third suspicion lasts 1.6 s, the rest 3 s.
     CHECK(faults.is_confirmed(engine_a, last + 4599ms));
     CHECK_FALSE(faults.is_confirmed(engine_a, last + 4600ms));
@@ -134,3 +134,19 @@
     faults.report(engine_a, engine_fault::named_by_peer, last + 4600ms);
     CHECK(faults.is_confirmed(engine_a, last + 4600ms));
 }
+
+TEST_CASE("an engine that refuses and says that it leaves is lost at once")
+{
+    engine_faults faults{{}};
+    const time_point first = refuse(faults, 1, engine_standing::leaving);
+    CHECK(faults.is_confirmed(engine_a, first + 100ms));
+}
+
+TEST_CASE("an engine that only says that it leaves is not lost")
+{
+    engine_faults faults{{}};
+    faults.report(engine_a, engine_fault::in_silent_pipeline, start);
+    CHECK_FALSE(faults.refuses(engine_a, start));
+    faults.inquiry_answered(engine_a, engine_standing::leaving, start + 1ms);
+    CHECK_FALSE(faults.is_confirmed(engine_a, start + 1ms));
+}
