Routing: a waiting request is refused once its repair is overdue

Change: outage_policy, pure: waits only while a repair is expected (2.5 s after the loss), then refuses at once; the advice is longer while the store is lost, drawn apart for each caller, at most a third of the time it has left.

--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -229,6 +229,8 @@
         this->next_reload = now + reload_interval;
         this->on_reload();
     }
+    this->relay.store_is_lost =
+        this->servers_watch.status().failing_since.has_value();
     if (this->census.count() > 0)
     {
         set_instances(this->relay, this->census.count());
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -77,6 +77,8 @@
     time_point last_event_at{};
     /// Time for which no pipeline was there.
     duration held{};
+    /// When to come back, if that was decided for this request.
+    std::optional<duration> come_back_after;
 
     duration time_left() const;
 
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -8,6 +8,7 @@
 #include "relay/backend_pool.hpp"
 #include "relay/message_codec.hpp"
 #include "relay/stall_monitor.hpp"
+#include "routing/outage_policy.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/server_balancer.hpp"
 #include "serving/pipeline_router.hpp"
@@ -46,6 +47,9 @@
     absl::node_hash_map<service_id, retry_budget> retry_budgets;
     /// Set once the instance stops: answers end their connections.
     bool draining = false;
+    outage_policy outages{{}};
+    /// The store has not answered for a while.
+    bool store_is_lost = false;
     /// Instances that share the retry budgets, as far as known.
     std::size_t instances = unknown_instances;
     /// Requests being served.
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -19,10 +19,6 @@
 /// Pause before asking again while no pipeline is there.
 constexpr duration wait_for_pipeline = 50ms;
 
-/// A request that has not begun waits this long for a pipeline: lost layers
-/// are loaded elsewhere in one to two seconds.
-constexpr duration longest_hold = 1500ms;
-
 /// Output that is expected of a request that says nothing of it.
 constexpr std::uint32_t default_output_tokens = 150;
 
@@ -65,6 +61,23 @@
     return pipelines.choose(wanted);
 }
 
+/// Whether a stream that found no pipeline waits on. One that its caller has
+/// seen begin waits as long as the caller does.
+bool waits_for_pipeline(const stream_state& state)
+{
+    const exchange& served = state.served;
+    relay_context& relay = served.relay;
+    const time_point now = relay.time.now();
+    const model_id model{served.service.str()};
+    if (state.excluded.empty() && state.ran_at.empty())
+    {
+        relay.outages.on_missing(model, now);
+    }
+    return state.header_sent ||
+           relay.outages.is_worth_waiting(
+               model, now - served.received_at, now);
+}
+
 /// Whether the stream may go on, or begin, at another engine.
 bool may_go_on(const stream_state& state, stream_end end)
 {
@@ -146,9 +159,10 @@
         const auto* routed = std::get_if<routed_pipeline>(&choice);
         if (routed == nullptr)
         {
-            const duration waited = relay.time.now() - served.received_at;
-            if (!state.header_sent && waited >= longest_hold)
+            if (!waits_for_pipeline(state))
             {
+                served.come_back_after = relay.outages.come_back_after(
+                    relay.store_is_lost, served.time_left(), relay.random);
                 break;
             }
             state.excluded.clear();
@@ -156,6 +170,7 @@
             co_await pause_for(pause, wait_for_pipeline);
             continue;
         }
+        relay.outages.on_found(model_id{served.service.str()});
         const bool is_paid = served.attempts == 0 || state.repeat_is_paid ||
                              budget.try_take(relay.time.now());
         state.repeat_is_paid = false;
--- /dev/null
+++ b/unit_tests/routing/outage_policy_test.cpp
@@ -0,0 +1,191 @@
+#include "routing/outage_policy.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <vector>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const model_id model{"model"};
+const time_point start{1h};
+
+duration wait_until_refused(const outage_policy& policy, time_point arrived)
+{
+    duration waited{};
+    while (policy.is_worth_waiting(model, waited, arrived + waited))
+    {
+        waited += 50ms;
+    }
+    return waited;
+}
+
+} // namespace
+
+TEST_CASE("a request waits while a repair is expected")
+{
+    outage_policy policy{{}};
+    CHECK(policy.is_worth_waiting(model, 0ms, start));
+    policy.on_missing(model, start);
+    CHECK(wait_until_refused(policy, start) == 1500ms);
+    CHECK(wait_until_refused(policy, start + 2s) == 500ms);
+}
+
+TEST_CASE("a request is refused at once when the repair is overdue")
+{
+    outage_policy policy{{}};
+    policy.on_missing(model, start);
+    policy.on_missing(model, start + 2s);
+    CHECK(wait_until_refused(policy, start + 2500ms) == 0ms);
+    policy.on_found(model);
+    policy.on_missing(model, start + 3s);
+    CHECK(wait_until_refused(policy, start + 3s) == 1500ms);
+}
+
+TEST_CASE("callers come back within the time they wait, at moments of their own")
+{
+    const outage_policy policy{{}};
+    std::mt19937_64 random{7};
+    std::vector<duration> advice;
+    std::generate_n(
+        std::back_inserter(advice),
+        100,
+        [&]
+        {
+            return policy.come_back_after(true, 20s, random);
+        });
+    const auto [least, most] = std::ranges::minmax(advice);
+    CHECK(least >= 4s);
+    CHECK(most <= 6s);
+    CHECK(most - least > 1500ms);
+    CHECK(policy.come_back_after(false, 20s, random) <= 2250ms);
+    CHECK(policy.come_back_after(true, 1500ms, random) == 500ms);
+    CHECK(policy.come_back_after(true, -1s, random) == 0s);
+}
+
+namespace
+{
+
+/// What callers of an outage saw. Each asks twice at most.
+struct toll
+{
+    int served = 0;
+    int lost = 0;
+    duration held_in_vain{};
+};
+
+/// Asks whether to wait on, and when to come back.
+struct behaviour
+{
+    std::function<bool(duration waited, time_point now)> waits;
+    std::function<duration()> advice;
+};
+
+/// Sixty requests a second, while no pipeline is there for eight seconds.
+toll replay(
+    const behaviour& with,
+    const std::function<void(time_point now, bool is_missing)>& tell)
+{
+    struct caller
+    {
+        time_point arrived;
+        time_point now;
+        int asked = 0;
+        bool operator>(const caller& other) const
+        {
+            return this->now > other.now;
+        }
+    };
+    std::priority_queue<caller, std::vector<caller>, std::greater<>> callers;
+    for (int i = 0; i < 12 * 60; ++i)
+    {
+        const time_point at = start + i * 16667us;
+        callers.push({at, at, 0});
+    }
+    const time_point lost_at = start + 2s;
+    const time_point back_at = start + 10s;
+    toll seen;
+    while (!callers.empty())
+    {
+        caller next = callers.top();
+        callers.pop();
+        const bool is_missing = next.now >= lost_at && next.now < back_at;
+        tell(next.now, is_missing);
+        if (!is_missing)
+        {
+            ++seen.served;
+            continue;
+        }
+        const duration waited = next.now - next.arrived;
+        if (with.waits(waited, next.now))
+        {
+            next.now += 50ms;
+            callers.push(next);
+            continue;
+        }
+        seen.held_in_vain += waited;
+        if (++next.asked == 2)
+        {
+            ++seen.lost;
+            continue;
+        }
+        next.now += with.advice();
+        next.arrived = next.now;
+        callers.push(next);
+    }
+    return seen;
+}
+
+} // namespace
+
+TEST_CASE("more callers of a long outage are served than with fixed times")
+{
+    const behaviour fixed{
+        [](duration waited, time_point)
+        {
+            return waited < 1500ms;
+        },
+        []
+        {
+            return 1s;
+        }};
+    const toll plain = replay(
+        fixed,
+        [](time_point, bool)
+        {
+        });
+
+    outage_policy policy{{}};
+    std::mt19937_64 random{7};
+    const behaviour chosen{
+        [&](duration waited, time_point now)
+        {
+            return policy.is_worth_waiting(model, waited, now);
+        },
+        [&]
+        {
+            return policy.come_back_after(true, 18s, random);
+        }};
+    const toll seen = replay(
+        chosen,
+        [&](time_point now, bool is_missing)
+        {
+            if (is_missing)
+            {
+                policy.on_missing(model, now);
+            }
+            else
+            {
+                policy.on_found(model);
+            }
+        });
+    CHECK(seen.served + seen.lost == plain.served + plain.lost);
+    CHECK(seen.lost * 4 < plain.lost * 3);
+    CHECK(seen.held_in_vain * 2 < plain.held_in_vain);
+}
