Routing: a hole in one copy takes no layers from another

Cause: where a zone holds several copies, the neighbours of a hole were looked for among all engines that reach it, also those of another copy that reach over it; these were cut down to the hole, which opened the next one, and planning went on without end. Change: only engines whose range ends or begins at the hole take it over, and each turn is counted. The test of two copies failed before with 0 holders for 2.

--- a/source/routing/layer_layout.cpp
+++ b/source/routing/layer_layout.cpp
@@ -51,13 +51,7 @@
             }
             return std::move(this->steps);
         }
-        while (const auto hole = this->first_hole(1))
-        {
-            if (!this->fill(*hole))
-            {
-                break;
-            }
-        }
+        this->close_holes();
         for (std::uint32_t copy = 2; copy <= this->copies(); ++copy)
         {
             this->restore(copy);
@@ -123,13 +117,29 @@
         return groups;
     }
 
+    /// Fills what the zone lacks. Each turn closes a hole, of which there are
+    /// no more than layers.
+    void close_holes()
+    {
+        for (std::uint32_t turn = 0; turn < this->layers; ++turn)
+        {
+            const auto hole = this->first_hole(1);
+            if (!hole || !this->fill(*hole))
+            {
+                return;
+            }
+        }
+    }
+
     /// Fills what a copy lacks as far as that is cheap.
     void restore(std::uint32_t copy)
     {
-        while (const auto hole = this->first_hole(copy))
+        for (std::uint32_t turn = 0; turn < this->layers; ++turn)
         {
-            if (!this->fill_with_empty(*hole) &&
-                !this->fill_with_neighbours(*hole))
+            const auto hole = this->first_hole(copy);
+            const bool filled = hole && (this->fill_with_empty(*hole) ||
+                                         this->fill_with_neighbours(*hole));
+            if (!filled)
             {
                 return;
             }
@@ -247,6 +257,8 @@
     }
 
     /// The engine with the most room whose range ends or begins at the hole.
+    /// One that reaches over the hole belongs to another copy, and would lose
+    /// layers to it.
     template <class Touches>
     layout_engine* neighbour(Touches&& touches)
     {
@@ -268,12 +280,12 @@
         layout_engine* before = this->neighbour(
             [hole](const layer_range& range)
             {
-                return range.first < hole.first && range.last >= hole.first;
+                return range.last == hole.first;
             });
         layout_engine* after = this->neighbour(
             [hole](const layer_range& range)
             {
-                return range.first <= hole.last && range.last > hole.last;
+                return range.first == hole.last;
             });
         const std::uint32_t room_before =
             before == nullptr ? 0 : this->spare(*before);
--- a/unit_tests/routing/layer_layout_test.cpp
+++ b/unit_tests/routing/layer_layout_test.cpp
@@ -193,3 +193,86 @@
     carry_out(engines, plan_layout(engines, model_layers));
     check_whole(engines);
 }
+
+namespace
+{
+
+layout_engine holding(
+    const std::string& id,
+    std::uint32_t most,
+    std::uint32_t first,
+    std::uint32_t last)
+{
+    auto one = make(id, "a", most);
+    one.held = layer_range{layer_index{first}, layer_index{last}};
+    return one;
+}
+
+std::vector<int> count_holders(const std::vector<layout_engine>& engines)
+{
+    std::vector<int> holders(model_layers, 0);
+    for (const layout_engine& one : engines)
+    {
+        const auto first = one.held ? one.held->first.value() : 0;
+        const auto last = one.held ? one.held->last.value() : 0;
+        for (auto i = first; i < last; ++i)
+        {
+            ++holders[i];
+        }
+    }
+    return holders;
+}
+
+} // namespace
+
+TEST_CASE("a hole in one copy takes nothing from another")
+{
+    // The second copy lacks [5, 10), which the first holds within [0, 40).
+    std::vector<layout_engine> engines{
+        holding("a1", 60, 0, 40),
+        holding("a2", 50, 40, 80),
+        holding("b1", 20, 0, 5),
+        holding("b2", 50, 10, 50),
+        holding("b3", 80, 50, 80)};
+    carry_out(engines, plan_layout(engines, model_layers));
+    CHECK(std::ranges::min(count_holders(engines)) == 2);
+}
+
+TEST_CASE("a zone of several copies stays whole through losses and returns")
+{
+    const auto seed = GENERATE(range(1, 30));
+    std::mt19937_64 random{static_cast<std::uint64_t>(seed)};
+    std::vector<layout_engine> engines;
+    for (int i = 0; i < 35; ++i)
+    {
+        engines.push_back(
+            make("e" + std::to_string(100 + i), "a", i % 3 == 0 ? 8U : 12U));
+    }
+    carry_out(engines, plan_layout(engines, model_layers));
+    for (int event = 0; event < 40; ++event)
+    {
+        const bool is_return = engines.size() < 25 || random() % 2 == 0;
+        if (is_return)
+        {
+            engines.push_back(make("new" + std::to_string(event), "a", 12));
+        }
+        else
+        {
+            const auto at = random() % engines.size();
+            engines.erase(engines.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        const bool is_whole = std::ranges::min(count_holders(engines)) > 0;
+        const auto lost = count_holders(engines);
+        carry_out(engines, plan_layout(engines, model_layers));
+        check_whole(engines);
+        const auto after = count_holders(engines);
+        for (std::size_t i = 0; is_whole && i < after.size(); ++i)
+        {
+            CHECK(after[i] >= lost[i]);
+        }
+        // What was empty may give a copy what it lacked; then all is at rest.
+        carry_out(engines, plan_layout(engines, model_layers));
+        carry_out(engines, plan_layout(engines, model_layers));
+        CHECK(plan_layout(engines, model_layers).empty());
+    }
+}
