--- a/source/serving/pipeline_router.cpp
+++ b/source/serving/pipeline_router.cpp
@@ -52,6 +52,10 @@
 /// One line a planned pipeline.
 void log_plan(const route_table& routes, const fleet_snapshot& fleet)
 {
+    if (!log::enabled(log::level::debug))
+    {
+        return;
+    }
     for (const auto& [key, set] : routes.sets)
     {
         for (const pipeline& planned : set->candidates)
