Control: what a survey finds is published once, and suspects tell for themselves

Cause: in an outage each changed engine of a survey published the fleet and replanned anew, up to 99 times, and any suspicion anywhere made every instance ask all engines. Change: one publication a survey; a survey only while a zone lacks a pipeline; what suspected engines answer is taken as well. The new test did not hold before.

--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -69,7 +69,7 @@
     this->report(first_stage, engine_fault::in_silent_pipeline);
 }
 
-void engine_inquiry::ask()
+engine_inquiry::reports engine_inquiry::ask()
 {
     std::vector<server_id> due;
     const auto fleet = this->board.fleet.load();
@@ -88,34 +88,41 @@
     }
     // The rest is due again at the next call.
     due.resize(std::min(due.size(), most_inquiries));
+    reports answered;
     for (const server_id& id : due)
     {
         const auto server = find_engine(id);
         if (server != fleet->engines.end())
         {
-            this->settle(*server, this->engines.status(*server));
+            this->ask_one(*server, answered);
         }
     }
+    return answered;
 }
 
-std::vector<std::pair<server_id, engine_condition>> engine_inquiry::survey()
+engine_inquiry::reports engine_inquiry::survey()
 {
     const auto fleet = this->board.fleet.load();
-    std::vector<std::pair<server_id, engine_condition>> reports;
+    reports answered;
     for (const engine& server : fleet->engines)
     {
         if (this->is_lost(server.id))
         {
             continue;
         }
-        auto answer = this->engines.status(server);
-        this->settle(server, answer);
-        if (answer)
-        {
-            reports.emplace_back(server.id, std::move(answer).value());
-        }
+        this->ask_one(server, answered);
+    }
+    return answered;
+}
+
+void engine_inquiry::ask_one(const engine& server, reports& answered)
+{
+    auto answer = this->engines.status(server);
+    this->settle(server, answer);
+    if (answer)
+    {
+        answered.emplace_back(server.id, std::move(answer).value());
     }
-    return reports;
 }
 
 void engine_inquiry::settle(
@@ -222,10 +229,4 @@
     return servers;
 }
 
-bool engine_inquiry::has_suspicions() const
-{
-    const absl::MutexLock lock{&this->mutex};
-    return !this->faults.avoided(this->time.now()).empty();
-}
-
 } // namespace fireflysail
--- a/source/control/engine_inquiry.hpp
+++ b/source/control/engine_inquiry.hpp
@@ -29,11 +29,14 @@
     /// All stages of a pipeline stopped; the first is asked which one it was.
     void report_silence(const server_id& first_stage);
 
-    /// Asks the engines under suspicion; blocks for a bounded time each.
-    void ask();
+    using reports = std::vector<std::pair<server_id, engine_condition>>;
 
-    /// Asks every engine what it holds, suspected or not; those that answer.
-    std::vector<std::pair<server_id, engine_condition>> survey();
+    /// Asks the engines under suspicion; what those tell that answer. Blocks
+    /// for a bounded time each.
+    reports ask();
+
+    /// Asks every engine what it holds, suspected or not.
+    reports survey();
 
     std::vector<server_id> avoided() const;
 
@@ -42,9 +45,9 @@
     /// Engines whose loss is confirmed.
     std::vector<server_id> lost() const;
 
-    bool has_suspicions() const;
-
 private:
+    /// Asks one engine and judges it by its answer.
+    void ask_one(const engine& server, reports& answered);
     void settle(const engine& server, const result<engine_condition>& answer);
     engine_standing
     standing_of(const engine& server, const engine_condition& report);
--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -54,10 +54,16 @@
 }
 
 void traffic_controller::observe(
-    const server_id& server, const engine_condition& report)
+    const std::vector<std::pair<server_id, engine_condition>>& reports)
 {
     const absl::MutexLock lock{&this->mutex};
-    if (this->directory.observe(server, report.layers, report.started_at_ms))
+    bool changed = false;
+    for (const auto& [server, report] : reports)
+    {
+        changed |= this->directory.observe(
+            server, report.layers, report.started_at_ms);
+    }
+    if (changed)
     {
         this->publish_fleet();
     }
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -146,7 +146,7 @@
           {
               this->traffic.expire();
               this->note_store();
-              this->inquiry.ask();
+              this->ask_suspects();
               // A store that does not answer must not hold up repairs.
               if (!this->servers_watch.status().failing_since)
               {
@@ -263,23 +263,30 @@
          {"failures", status.counts.failures}});
 }
 
+void relay_process::ask_suspects()
+{
+    const auto reports = this->inquiry.ask();
+    // The store tells what engines hold with fewer delays than their reports,
+    // as long as it tells anything.
+    if (this->servers_watch.status().failing_since)
+    {
+        this->traffic.observe(reports);
+    }
+}
+
 void relay_process::survey_if_blind()
 {
     const auto failing_since = this->servers_watch.status().failing_since;
     const time_point now = this->time.now();
     const bool is_due = failing_since && now - *failing_since >= survey_after &&
                         now - this->last_survey >= survey_interval &&
-                        (!this->pipelines.covers_every_zone() ||
-                         this->inquiry.has_suspicions());
+                        !this->pipelines.covers_every_zone();
     if (!is_due)
     {
         return;
     }
     const auto reports = this->inquiry.survey();
-    for (const auto& [server, report] : reports)
-    {
-        this->traffic.observe(server, report);
-    }
+    this->traffic.observe(reports);
     this->last_survey = this->time.now();
     log::event(
         log::level::info,
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -56,6 +56,8 @@
     void drain();
     void keep_up();
 
+    void ask_suspects();
+
     /// Asks the engines themselves while the store cannot be read and a zone
     /// has no pipeline.
     void survey_if_blind();
--- a/unit_tests/control/traffic_controller_test.cpp
+++ b/unit_tests/control/traffic_controller_test.cpp
@@ -151,3 +151,23 @@
     this->traffic.set_lost({});
     CHECK(this->board.fleet.load()->engines.front().healthy);
 }
+
+TEST_CASE_METHOD(fixture, "what many engines tell is published once")
+{
+    this->config("1", 1);
+    this->servers(
+        {make("servers", "e1", "model", 1),
+         make("servers", "e2", "model", 1),
+         make("servers", "e3", "model", 1)});
+    const int before = this->published;
+    engine_condition report;
+    report.layers = {{{layer_index{8}, layer_index{16}}, model_version{"1"}}};
+    const std::vector<std::pair<server_id, engine_condition>> reports{
+        {server_id{"e1"}, report}, {server_id{"e2"}, report}};
+    this->traffic.observe(reports);
+    CHECK(this->published == before + 1);
+    this->traffic.observe(reports);
+    CHECK(this->published == before + 1);
+    const auto fleet = this->board.fleet.load();
+    CHECK(fleet->engines.at(1).holdings.at(0).layers.first == layer_index{8});
+}
