Main: watches start less often

Change: changes may wait for a third of the time in which a leaving server must be left, not an eighth.

--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -45,7 +45,7 @@
 
 /// Part of the time in which a leaving server must be left that changes may
 /// wait to be fetched together.
-constexpr int watch_interval_divisor = 8;
+constexpr int watch_interval_divisor = 3;
 
 store_watcher_options watch_options(const service_bounds& bounds)
 {
