--- a/source/control/crash_registry.cpp
+++ b/source/control/crash_registry.cpp
@@ -26,8 +26,6 @@
 /// of them stays away long past that.
 constexpr duration first_quarantine = 60s;
 
-constexpr duration store_call_time = 600ms;
-
 crash_suspicion::options chosen_options()
 {
     crash_suspicion::options chosen;
@@ -82,7 +80,7 @@
     for (const fingerprint print : prints)
     {
         const auto told = this->objects.create(
-            {kind, name_of(print)}, "1", this->time.now() + store_call_time);
+            {kind, name_of(print)}, "1", this->time.now() + short_call_time);
         // Another instance may have told of it before.
         if (told || told.error() == errc::conflict)
         {
--- a/source/control/instance_census.cpp
+++ b/source/control/instance_census.cpp
@@ -13,8 +13,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration call_time = 600ms;
-
 /// Instances that start together are all counted after this time.
 constexpr duration first_count = 3s;
 
@@ -43,13 +41,13 @@
     if (!this->registered)
     {
         const auto written = this->objects.create(
-            {kind, this->self.str()}, "1", now + call_time);
+            {kind, this->self.str()}, "1", now + short_call_time);
         // An earlier life of this instance may have written it.
         this->registered = written || written.error() == errc::conflict;
         this->next_count = now + (this->registered ? first_count : retry_pause);
         return;
     }
-    const auto listed = this->objects.list({kind}, now + call_time);
+    const auto listed = this->objects.list({kind}, now + short_call_time);
     if (!listed)
     {
         this->next_count = now + retry_pause;
--- a/source/store/store.hpp
+++ b/source/store/store.hpp
@@ -55,6 +55,11 @@
     std::vector<store_event> events;
 };
 
+/// Longest wait for one read or write where nothing else sets a deadline: the
+/// store answers in milliseconds, and a call that it lost is worth repeating
+/// soon.
+inline constexpr duration short_call_time = std::chrono::milliseconds{600};
+
 /// The platform's object API. Every call ends by its deadline. Errors, unless
 /// said otherwise: errc::unavailable (no effect), errc::unknown_effect (writes
 /// only: the write may have taken, or may still take, effect), errc::malformed,
