Relay: callers come back later while an instance has no configuration

Change: while the store gives nothing, the advice is that of the outage policy; it stands in request_ended as retry_after_ms.

--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -19,9 +19,9 @@
 
 bool has_room(const engine_condition& report)
 {
-    return !report.busy && static_cast<double>(report.kv_used) <
-                               full_share *
-                                   static_cast<double>(report.kv_total);
+    return !report.busy &&
+           static_cast<double>(report.kv_used) <
+               full_share * static_cast<double>(report.kv_total);
 }
 
 } // namespace
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -57,8 +57,8 @@
 
     /// Takes what an engine itself says that it holds, while the store cannot
     /// be asked.
-    void observe(
-        const std::vector<std::pair<server_id, engine_condition>>& reports);
+    void
+    observe(const std::vector<std::pair<server_id, engine_condition>>& reports);
 
     /// True when both were read once.
     bool is_complete() const;
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -37,8 +37,8 @@
 constexpr duration longest_warm_up = 8s;
 
 /// The store must have failed for this long before engines are asked what they
-/// hold; a single lost call is no outage.
-constexpr duration survey_after = 500ms;
+/// hold, and callers are told to stay away; a single lost call is no outage.
+constexpr duration outage_after = 500ms;
 
 /// Each survey asks every engine once, and each question is paid for.
 constexpr duration survey_interval = 1s;
@@ -77,7 +77,7 @@
     lease.renew_interval = 1s;
     lease.drift_margin = 300ms;
     lease.retry_interval = 300ms;
-    lease.call_time = 600ms;
+    lease.call_time = short_call_time;
     return lease;
 }
 
@@ -229,8 +229,11 @@
         this->next_reload = now + reload_interval;
         this->on_reload();
     }
+    // A first list that hangs does not count as failed yet.
+    const bool starts_blind =
+        !this->traffic.is_complete() && now - this->started_at >= outage_after;
     this->relay.store_is_lost =
-        this->servers_watch.status().failing_since.has_value();
+        starts_blind || this->servers_watch.status().failing_since.has_value();
     if (this->census.count() > 0)
     {
         set_instances(this->relay, this->census.count());
@@ -278,7 +281,7 @@
 {
     const auto failing_since = this->servers_watch.status().failing_since;
     const time_point now = this->time.now();
-    const bool is_due = failing_since && now - *failing_since >= survey_after &&
+    const bool is_due = failing_since && now - *failing_since >= outage_after &&
                         now - this->last_survey >= survey_interval &&
                         !this->pipelines.covers_every_zone();
     if (!is_due)
--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -268,6 +268,13 @@
     next.deadline = next.received_at + limit;
     if (refusal)
     {
+        if (*refusal == own_answer::not_configured && this->relay.store_is_lost)
+        {
+            next.come_back_after = this->relay.outages.come_back_after(
+                this->relay.store_is_lost,
+                next.time_left(),
+                this->relay.random);
+        }
         co_await answer_ourselves(next, *refusal);
         this->log_end(next);
         co_return;
@@ -330,6 +337,9 @@
          {"events", served.events},
          {"longest_gap_ms", milliseconds(served.longest_gap)},
          {"held_ms", milliseconds(served.held)},
+         {"retry_after_ms",
+          served.come_back_after ? milliseconds(*served.come_back_after)
+                                 : -1.0},
          {"config_version", served.config ? served.config->version : 0},
          {"config_age_ms",
           served.config ? milliseconds(now - served.config->read_at) : -1.0},
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -147,11 +147,11 @@
         co_return;
     }
     http_response answer{http::int_to_status(status_of(why)), 11};
-    const auto advice = advice_of(why);
+    const auto usual = advice_of(why);
+    served.come_back_after =
+        usual && served.come_back_after ? served.come_back_after : usual;
     served.relay.codec.write_own_answer(
-        answer,
-        served.facts.attempt,
-        advice && served.come_back_after ? served.come_back_after : advice);
+        answer, served.facts.attempt, served.come_back_after);
     answer.set(http::field::content_type, "text/plain");
     answer.body() = std::string{name_of(why)} + "\n";
     answer.keep_alive(!served.must_close && !served.relay.draining);
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -77,7 +77,8 @@
     time_point last_event_at{};
     /// Time for which no pipeline was there.
     duration held{};
-    /// When to come back, if that was decided for this request.
+    /// When the caller should come back: decided for this request, or else
+    /// what its refusal usually says.
     std::optional<duration> come_back_after;
 
     duration time_left() const;
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -74,8 +74,7 @@
         relay.outages.on_missing(model, now);
     }
     return state.header_sent ||
-           relay.outages.is_worth_waiting(
-               model, now - served.received_at, now);
+           relay.outages.is_worth_waiting(model, now - served.received_at, now);
 }
 
 /// Whether the stream may go on, or begin, at another engine.
--- a/source/routing/engine_faults.cpp
+++ b/source/routing/engine_faults.cpp
@@ -115,9 +115,9 @@
 
 bool engine_faults::is_lost(const record& known, time_point now) const
 {
-    const bool refuses =
-        known.refusals >= this->chosen.refusals_to_confirm && known.has_room &&
-        now < known.until + this->chosen.refusal_rest;
+    const bool refuses = known.refusals >= this->chosen.refusals_to_confirm &&
+                         known.has_room &&
+                         now < known.until + this->chosen.refusal_rest;
     return refuses ||
            known.failed_inquiries >= this->chosen.inquiries_to_confirm;
 }
--- a/unit_tests/common/log_test.cpp
+++ b/unit_tests/common/log_test.cpp
@@ -36,8 +36,8 @@
             {
                 std::array<char, 4096> part{};
                 ssize_t count = 0;
-                while ((count = read(
-                            this->ends[0], part.data(), part.size())) > 0)
+                while ((count = read(this->ends[0], part.data(), part.size())) >
+                       0)
                 {
                     text.append(part.data(), static_cast<std::size_t>(count));
                 }
@@ -79,7 +79,7 @@
     const std::string text = output.restore();
     CHECK(dropped > 0);
     CHECK(text.find("\"event\":\"line\"") != std::string::npos);
-    const auto written = static_cast<std::uint64_t>(
-        std::count(text.begin(), text.end(), '\n'));
+    const auto written =
+        static_cast<std::uint64_t>(std::count(text.begin(), text.end(), '\n'));
     CHECK(written + dropped <= many + 1);
 }
--- a/unit_tests/relay/plain_exchange_test.cpp
+++ b/unit_tests/relay/plain_exchange_test.cpp
@@ -83,6 +83,26 @@
     CHECK_FALSE(text_of(answers[0].header, "Retry-After").empty());
 }
 
+TEST_CASE_METHOD(
+    relay_fixture, "callers come back later while the store gives nothing")
+{
+    this->config.reset();
+    this->store_is_lost = true;
+    const auto answers = this->ask(
+        {get("/safe/", "X-Fireflysail-Deadline-Ms: 30000\r\n"),
+         get("/safe/", "X-Fireflysail-Deadline-Ms: 3000\r\n")});
+    REQUIRE(answers.size() == 2);
+    const auto advice = [&answers](std::size_t i)
+    {
+        return std::stod(text_of(answers.at(i).header, "Retry-After"));
+    };
+    CHECK(answers[0].status == 503);
+    CHECK(advice(0) >= 4);
+    CHECK(advice(0) <= 6);
+    // Callers follow advice up to a third of the time that they have left.
+    CHECK(advice(1) <= 1);
+}
+
 TEST_CASE_METHOD(relay_fixture, "an idempotent request is asked elsewhere")
 {
     auto& lost = this->add_desk("home", always({"", true}));
--- a/unit_tests/relay/relay_fixture.cpp
+++ b/unit_tests/relay/relay_fixture.cpp
@@ -220,6 +220,7 @@
         metrics,
         random,
         {}};
+    relay.store_is_lost = this->store_is_lost;
     tcp::acceptor acceptor{
         this->io, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
     tcp::socket caller{this->io};
--- a/unit_tests/relay/relay_fixture.hpp
+++ b/unit_tests/relay/relay_fixture.hpp
@@ -55,6 +55,7 @@
     blackboard board;
     silent_engines engines;
     std::shared_ptr<traffic_config> config;
+    bool store_is_lost = false;
 
 private:
     void publish();
--- a/unit_tests/routing/outage_policy_test.cpp
+++ b/unit_tests/routing/outage_policy_test.cpp
@@ -48,7 +48,8 @@
     CHECK(wait_until_refused(policy, start + 3s) == 1500ms);
 }
 
-TEST_CASE("callers come back within the time they wait, at moments of their own")
+TEST_CASE(
+    "callers come back within the time they wait, at moments of their own")
 {
     const outage_policy policy{{}};
     std::mt19937_64 random{7};
@@ -155,11 +156,7 @@
         {
             return 1s;
         }};
-    const toll plain = replay(
-        fixed,
-        [](time_point, bool)
-        {
-        });
+    const toll plain = replay(fixed, [](time_point, bool) {});
 
     outage_policy policy{{}};
     std::mt19937_64 random{7};
