Routing: an engine that refuses is lost to planning, not gone

Cause: an engine that counts as lost because it refuses may still run what it took before, but streams no longer counted it among the engines of an attempt, so that a third could be used; seen in reading. Change: only engines that stopped answering are not counted. The new check tells the two apart; it was written after the change and not run without it.

--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -214,6 +214,12 @@
     return this->faults.is_confirmed(server, this->time.now());
 }
 
+bool engine_inquiry::is_gone(const server_id& server) const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->faults.is_gone(server);
+}
+
 std::vector<server_id> engine_inquiry::lost() const
 {
     const absl::MutexLock lock{&this->mutex};
--- a/source/control/engine_inquiry.hpp
+++ b/source/control/engine_inquiry.hpp
@@ -42,6 +42,9 @@
 
     bool is_lost(const server_id& server) const;
 
+    /// See engine_faults::is_gone().
+    bool is_gone(const server_id& server) const;
+
     /// Engines whose loss is confirmed.
     std::vector<server_id> lost() const;
 
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -139,7 +139,7 @@
         state.ran_at,
         [&state](const server_id& server)
         {
-            return !state.served.relay.inquiry.is_lost(server);
+            return !state.served.relay.inquiry.is_gone(server);
         });
     return still_there <
            static_cast<std::ptrdiff_t>(state.served.matched->most_attempts);
--- a/source/routing/engine_faults.cpp
+++ b/source/routing/engine_faults.cpp
@@ -113,13 +113,23 @@
     return known != this->records.end() && this->is_lost(known->second, now);
 }
 
+bool engine_faults::is_gone(const server_id& server) const
+{
+    const auto known = this->records.find(server);
+    return known != this->records.end() && this->is_gone(known->second);
+}
+
+bool engine_faults::is_gone(const record& known) const
+{
+    return known.failed_inquiries >= this->chosen.inquiries_to_confirm;
+}
+
 bool engine_faults::is_lost(const record& known, time_point now) const
 {
     const bool refuses = known.refusals >= this->chosen.refusals_to_confirm &&
                          known.has_room &&
                          now < known.until + this->chosen.refusal_rest;
-    return refuses ||
-           known.failed_inquiries >= this->chosen.inquiries_to_confirm;
+    return refuses || this->is_gone(known);
 }
 
 std::uint64_t engine_faults::version() const
--- a/source/routing/engine_faults.hpp
+++ b/source/routing/engine_faults.hpp
@@ -91,6 +91,10 @@
     /// count as lost.
     bool is_confirmed(const server_id& server, time_point now) const;
 
+    /// Enough inquiries failed: what ran on it has ended. One that refuses may
+    /// still be at work on what it took before.
+    bool is_gone(const server_id& server) const;
+
     /// Grows with each change of what is avoided or confirmed.
     std::uint64_t version() const;
 
@@ -119,6 +123,7 @@
         time_point next_inquiry;
     };
 
+    bool is_gone(const record& known) const;
     bool is_lost(const record& known, time_point now) const;
 
     options chosen;
--- a/unit_tests/control/leader_lease_test.cpp
+++ b/unit_tests/control/leader_lease_test.cpp
@@ -96,16 +96,28 @@
     CHECK(b.leads());
 }
 
-TEST_CASE("the term counts from before the write was sent")
+namespace
+{
+
+time_point at(duration since_start)
+{
+    return time_point{} + since_start;
+}
+
+/// The lease is found free and asked for 11 s after the start.
+void ask_for(leader_lease& lease)
 {
-    const auto at = [](duration since_start)
-    {
-        return time_point{} + since_start;
-    };
-    leader_lease lease{instance_id{"a"}, "life"};
     REQUIRE(std::holds_alternative<read_lease>(lease.next(at(0s))));
     lease.on_read(std::optional<observed_lease>{}, at(0s));
     REQUIRE(std::holds_alternative<write_lease>(lease.next(at(11s))));
+}
+
+} // namespace
+
+TEST_CASE("the term counts from before the write was sent")
+{
+    leader_lease lease{instance_id{"a"}, "life"};
+    ask_for(lease);
     // Its holder is paused for nine seconds before it sees the answer.
     lease.on_written(revision{7}, at(20s));
     REQUIRE(lease.held(at(20s)));
@@ -306,14 +318,8 @@
 
 TEST_CASE("a lease that the store does not take back is led on under its fence")
 {
-    const auto at = [](duration since_start)
-    {
-        return time_point{} + since_start;
-    };
     leader_lease lease{instance_id{"a"}, "life"};
-    REQUIRE(std::holds_alternative<read_lease>(lease.next(at(0s))));
-    lease.on_read(std::optional<observed_lease>{}, at(0s));
-    REQUIRE(std::holds_alternative<write_lease>(lease.next(at(11s))));
+    ask_for(lease);
     lease.on_written(revision{7}, at(11s));
     lease.release();
     REQUIRE(std::holds_alternative<write_lease>(lease.next(at(12s))));
--- a/unit_tests/routing/engine_faults_test.cpp
+++ b/unit_tests/routing/engine_faults_test.cpp
@@ -56,6 +56,7 @@
     CHECK(faults.take_due_inquiries(start + 400ms) == std::vector{engine_a});
     faults.inquiry_failed(engine_a, start + 500ms);
     CHECK(faults.is_confirmed(engine_a, start));
+    CHECK(faults.is_gone(engine_a));
     CHECK(faults.avoided(start + 1h) == std::vector{engine_a});
     faults.inquiry_answered(engine_a, engine_standing::ready, start + 1h);
     CHECK_FALSE(faults.is_confirmed(engine_a, start));
@@ -140,6 +141,8 @@
     engine_faults faults{{}};
     const time_point first = refuse(faults, 1, engine_standing::leaving);
     CHECK(faults.is_confirmed(engine_a, first + 100ms));
+    // It may still be at work for streams that began before.
+    CHECK_FALSE(faults.is_gone(engine_a));
 }
 
 TEST_CASE("an engine that only says that it leaves is not lost")
