Relay: one piece reads, delivers, accepts and watches for silence

pass_on repeated read_whole_body and deliver of the plain exchange (without their bound of 8 MB, which it has now); the deadline on silence was made twice; callers and probes had an accept loop each, of which one logged no error; any_ran stood beside ran_at, from which it follows; two places asked for the advice of the outage. No other change of behaviour.

--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -270,10 +270,7 @@
     {
         if (*refusal == own_answer::not_configured && this->relay.store_is_lost)
         {
-            next.come_back_after = this->relay.outages.come_back_after(
-                this->relay.store_is_lost,
-                next.time_left(),
-                this->relay.random);
+            next.advise_return();
         }
         co_await answer_ourselves(next, *refusal);
         this->log_end(next);
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -18,6 +18,9 @@
 /// one that does not is down or cut off.
 constexpr duration connect_limit = 400ms;
 
+/// Largest answer that is kept until it is whole.
+constexpr std::size_t most_answer_bytes = std::size_t{8} * 1024 * 1024;
+
 /// Advice to callers when nothing can run their request: about the time in
 /// which lost layers are loaded elsewhere.
 constexpr duration retry_after_outage = 1s;
@@ -106,6 +109,12 @@
     return this->expired || this->caller.has_left();
 }
 
+void exchange::advise_return()
+{
+    this->come_back_after = this->relay.outages.come_back_after(
+        this->relay.store_is_lost, this->time_left(), this->relay.random);
+}
+
 std::string_view name_of(own_answer why)
 {
     switch (why)
@@ -222,6 +231,39 @@
     co_return !failed && !served.is_over();
 }
 
+asio::awaitable<bool>
+read_whole_body(backend_connection& connection, std::string& body)
+{
+    std::array<char, 8192> part{};
+    while (true)
+    {
+        const auto read = co_await connection.read_body(part);
+        body.append(part.data(), read.bytes);
+        if (read.error || body.size() > most_answer_bytes)
+        {
+            co_return false;
+        }
+        if (read.is_last)
+        {
+            co_return true;
+        }
+    }
+}
+
+asio::awaitable<void> deliver(exchange& served, http_response& answer)
+{
+    remove_connection_fields(answer);
+    answer.version(11);
+    answer.keep_alive(!served.must_close && !served.relay.draining);
+    answer.prepare_payload();
+    served.last_status = answer.result_int();
+    const io_error failed = co_await served.caller.write(answer);
+    if (failed)
+    {
+        served.must_close = true;
+    }
+}
+
 asio::awaitable<bool>
 check_crash(exchange& served, const server_id& server, const endpoint& address)
 {
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -85,6 +85,9 @@
 
     /// The caller left or the time is up.
     bool is_over() const;
+
+    /// Sets when to come back by the outage that is going on.
+    void advise_return();
 };
 
 /// Serves a request to a plain service.
@@ -93,6 +96,14 @@
 /// Serves a stream of a model engine.
 asio::awaitable<void> serve_stream(exchange& served);
 
+/// Reads the whole body; false when it broke off or is too large.
+asio::awaitable<bool>
+read_whole_body(backend_connection& connection, std::string& body);
+
+/// Sends a backend server's whole answer, without what concerned its
+/// connection only.
+asio::awaitable<void> deliver(exchange& served, http_response& answer);
+
 /// Sends an answer of our own.
 asio::awaitable<void> answer_ourselves(exchange& served, own_answer why);
 
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "common/log.hpp"
 
-#include <array>
 #include <utility>
 
 namespace fireflysail
@@ -11,9 +10,6 @@
 namespace
 {
 
-/// Largest answer of a plain service that is kept until it is whole.
-constexpr std::size_t most_answer_bytes = std::size_t{8} * 1024 * 1024;
-
 /// Answers from here on say that the server failed.
 constexpr unsigned first_server_error = 500;
 
@@ -40,26 +36,6 @@
     bool has_header = false;
 };
 
-/// Reads the whole body; false when it broke off or is too large.
-asio::awaitable<bool>
-read_whole_body(backend_connection& connection, std::string& body)
-{
-    std::array<char, 8192> part{};
-    while (true)
-    {
-        const auto read = co_await connection.read_body(part);
-        body.append(part.data(), read.bytes);
-        if (read.error || body.size() > most_answer_bytes)
-        {
-            co_return false;
-        }
-        if (read.is_last)
-        {
-            co_return true;
-        }
-    }
-}
-
 asio::awaitable<attempt_result>
 read_answer(exchange& served, backend_connection& connection)
 {
@@ -139,20 +115,6 @@
     co_return result;
 }
 
-asio::awaitable<void> deliver(exchange& served, http_response& answer)
-{
-    remove_connection_fields(answer);
-    answer.version(11);
-    answer.keep_alive(!served.must_close && !served.relay.draining);
-    answer.prepare_payload();
-    served.last_status = answer.result_int();
-    const io_error failed = co_await served.caller.write(answer);
-    if (failed)
-    {
-        served.must_close = true;
-    }
-}
-
 /// Whether another server may be asked after this end.
 bool may_repeat(attempt_end end, work_kind work)
 {
--- a/source/relay/relay_server.cpp
+++ b/source/relay/relay_server.cpp
@@ -61,14 +61,27 @@
         {
             return failed;
         }
+    }
+    const auto take_probe = [this](tcp::socket accepted)
+    {
+        asio::co_spawn(
+            this->io, this->serve_probe(std::move(accepted)), asio::detached);
+    };
+    for (tcp::acceptor* acceptor :
+         {&this->readiness, &this->control, &this->metrics})
+    {
         asio::co_spawn(
-            this->io, this->accept_probes(this->metrics), asio::detached);
+            this->io, this->accept(*acceptor, take_probe), asio::detached);
     }
-    asio::co_spawn(this->io, this->accept_callers(), asio::detached);
-    asio::co_spawn(
-        this->io, this->accept_probes(this->readiness), asio::detached);
     asio::co_spawn(
-        this->io, this->accept_probes(this->control), asio::detached);
+        this->io,
+        this->accept(
+            this->callers,
+            [this](tcp::socket accepted)
+            {
+                this->take_caller(std::move(accepted));
+            }),
+        asio::detached);
     return {};
 }
 
@@ -101,14 +114,12 @@
     return acceptor.listen(tcp::acceptor::max_listen_connections, failed);
 }
 
-asio::awaitable<void> relay_server::accept_callers()
+asio::awaitable<void> relay_server::accept(tcp::acceptor& acceptor, taker take)
 {
     asio::steady_timer pause{this->io};
-    const auto most_callers =
-        static_cast<std::size_t>(this->relay.node.descriptors * callers_share);
-    while (this->callers.is_open())
+    while (acceptor.is_open())
     {
-        auto [error, accepted] = co_await this->callers.async_accept(as_result);
+        auto [error, accepted] = co_await acceptor.async_accept(as_result);
         if (error == asio::error::operation_aborted)
         {
             co_return;
@@ -123,19 +134,26 @@
             co_await pause_for(pause, accept_pause);
             continue;
         }
-        if (this->relay.open_connections >= most_callers)
-        {
-            log::event(
-                log::level::warning,
-                log::channel::api,
-                "connection_refused",
-                {{"open_connections", this->relay.open_connections}});
-            close_quietly(accepted);
-            continue;
-        }
-        asio::co_spawn(
-            this->io, this->serve_caller(std::move(accepted)), asio::detached);
+        take(std::move(accepted));
+    }
+}
+
+void relay_server::take_caller(tcp::socket accepted)
+{
+    const auto most_callers =
+        static_cast<std::size_t>(this->relay.node.descriptors * callers_share);
+    if (this->relay.open_connections >= most_callers)
+    {
+        log::event(
+            log::level::warning,
+            log::channel::api,
+            "connection_refused",
+            {{"open_connections", this->relay.open_connections}});
+        close_quietly(accepted);
+        return;
     }
+    asio::co_spawn(
+        this->io, this->serve_caller(std::move(accepted)), asio::detached);
 }
 
 asio::awaitable<void> relay_server::serve_caller(tcp::socket accepted)
@@ -146,26 +164,6 @@
     this->sessions.erase(&session);
 }
 
-asio::awaitable<void> relay_server::accept_probes(tcp::acceptor& acceptor)
-{
-    asio::steady_timer pause{this->io};
-    while (acceptor.is_open())
-    {
-        auto [error, accepted] = co_await acceptor.async_accept(as_result);
-        if (error == asio::error::operation_aborted)
-        {
-            co_return;
-        }
-        if (error)
-        {
-            co_await pause_for(pause, accept_pause);
-            continue;
-        }
-        asio::co_spawn(
-            this->io, this->serve_probe(std::move(accepted)), asio::detached);
-    }
-}
-
 asio::awaitable<void> relay_server::serve_probe(tcp::socket accepted)
 {
     tcp::socket socket = std::move(accepted);
--- a/source/relay/relay_server.hpp
+++ b/source/relay/relay_server.hpp
@@ -38,9 +38,11 @@
     void stop_accepting();
 
 private:
-    asio::awaitable<void> accept_callers();
+    using taker = std::function<void(tcp::socket accepted)>;
+
+    asio::awaitable<void> accept(tcp::acceptor& acceptor, taker take);
+    void take_caller(tcp::socket accepted);
     asio::awaitable<void> serve_caller(tcp::socket accepted);
-    asio::awaitable<void> accept_probes(tcp::acceptor& acceptor);
     asio::awaitable<void> serve_probe(tcp::socket accepted);
     io_error listen(tcp::acceptor& acceptor, const endpoint& address);
 
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -114,25 +114,23 @@
         served.must_close = true;
         co_return;
     }
+    const bool any_ran = !state.ran_at.empty();
     if (served.expired)
     {
         co_await answer_ourselves(
             served,
-            state.any_ran ? own_answer::timed_out
-                          : own_answer::timed_out_unsent);
+            any_ran ? own_answer::timed_out : own_answer::timed_out_unsent);
         co_return;
     }
     co_await answer_ourselves(
         served,
-        state.any_ran   ? own_answer::unknown_outcome
+        any_ran         ? own_answer::unknown_outcome
         : state.refused ? own_answer::overloaded
                         : own_answer::no_backend_server);
 }
 
 } // namespace
 
-/// The operators bound the engines that one attempt of a caller runs on; those
-/// that are gone do not count.
 bool may_use_another_engine(const stream_state& state)
 {
     const auto still_there = std::ranges::count_if(
@@ -160,8 +158,7 @@
         {
             if (!waits_for_pipeline(state))
             {
-                served.come_back_after = relay.outages.come_back_after(
-                    relay.store_is_lost, served.time_left(), relay.random);
+                served.advise_return();
                 break;
             }
             state.excluded.clear();
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -38,6 +38,19 @@
         blamed.server, engine_fault::named_by_peer);
 }
 
+/// Closes the connection at the moment that it is set to.
+io_deadline
+closes_when_silent(const exchange& served, backend_connection& connection)
+{
+    return {
+        served.relay.executor,
+        served.relay.time,
+        [&connection]
+        {
+            connection.close();
+        }};
+}
+
 /// For the log and the metrics: several events that came together are one.
 void note_events(exchange& served)
 {
@@ -102,13 +115,7 @@
     event_stream events;
     std::string out;
     std::array<char, 8192> part{};
-    io_deadline silence{
-        served.relay.executor,
-        served.relay.time,
-        [&connection]
-        {
-            connection.close();
-        }};
+    io_deadline silence = closes_when_silent(served, connection);
     const duration longest_silence =
         served.relay.node.bounds.stage_stall + silence_margin;
     while (true)
@@ -139,35 +146,16 @@
 }
 
 asio::awaitable<stream_end>
-pass_on(stream_state& state, backend_connection& connection)
+pass_on(exchange& served, backend_connection& connection)
 {
-    exchange& served = state.served;
     http_response answer;
     answer.base() = connection.header();
-    std::array<char, 4096> part{};
-    while (true)
-    {
-        const auto read = co_await connection.read_body(part);
-        answer.body().append(part.data(), read.bytes);
-        if (read.error)
-        {
-            co_return stream_end::broken;
-        }
-        if (read.is_last)
-        {
-            break;
-        }
-    }
-    remove_connection_fields(answer);
-    answer.version(11);
-    answer.keep_alive(!served.must_close && !served.relay.draining);
-    answer.prepare_payload();
-    served.last_status = answer.result_int();
-    const io_error failed = co_await served.caller.write(answer);
-    if (failed)
+    const bool whole = co_await read_whole_body(connection, answer.body());
+    if (!whole)
     {
-        served.must_close = true;
+        co_return stream_end::broken;
     }
+    co_await deliver(served, answer);
     co_return stream_end::passed_on;
 }
 
@@ -179,13 +167,7 @@
     exchange& served = state.served;
     io_error failed;
     {
-        io_deadline silence{
-            served.relay.executor,
-            served.relay.time,
-            [&connection]
-            {
-                connection.close();
-            }};
+        io_deadline silence = closes_when_silent(served, connection);
         silence.set(
             served.relay.time.now() + served.relay.node.bounds.stage_stall +
             served.matched->latency_objective);
@@ -193,7 +175,6 @@
     }
     if (failed)
     {
-        state.any_ran = true;
         co_return stream_end::broken;
     }
     state.answered = true;
@@ -203,7 +184,6 @@
     served.last_status = header.result_int();
     if (facts.attempt != served.facts.attempt)
     {
-        state.any_ran = true;
         co_return stream_end::broken;
     }
     connection.idle_limit = facts.keep_alive;
@@ -212,7 +192,6 @@
         exclude_failed(state, routed, facts);
         co_return stream_end::refused;
     }
-    state.any_ran = true;
     const bool is_success = header.result() == http::status::ok;
     if (!facts.stamped)
     {
@@ -224,7 +203,7 @@
         {
             co_return stream_end::broken;
         }
-        co_return co_await pass_on(state, connection);
+        co_return co_await pass_on(served, connection);
     }
     if (!state.header)
     {
--- a/source/relay/stream_run.hpp
+++ b/source/relay/stream_run.hpp
@@ -43,7 +43,6 @@
     std::vector<server_id> excluded;
     /// First engines of the pipelines on which it ran.
     std::vector<server_id> ran_at;
-    bool any_ran = false;
     bool refused = false;
     /// The current run was ended because its pipeline fell silent.
     bool silenced = false;
