--- a/benchmarks/routing_run.cpp
+++ b/benchmarks/routing_run.cpp
@@ -31,12 +31,6 @@
     return std::chrono::duration<double>{time}.count();
 }
 
-duration from_seconds(double time)
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>{time});
-}
-
 } // namespace
 
 struct routing_run::instance
--- a/source/common/clock.hpp
+++ b/source/common/clock.hpp
@@ -10,6 +10,17 @@
 using duration = std::chrono::steady_clock::duration;
 using wall_time = std::chrono::system_clock::time_point;
 
+inline double to_seconds(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+inline duration from_seconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
 /// Source of time, passed to everything that needs one.
 class clock
 {
--- a/source/common/log.cpp
+++ b/source/common/log.cpp
@@ -1,5 +1,7 @@
 #include "common/log.hpp"
 
+#include "common/token_bucket.hpp"
+
 #include <fmt/chrono.h>
 
 #include <spdlog/async_logger.h>
@@ -89,31 +91,32 @@
 
 std::atomic<std::uint64_t> dropped{0};
 
-/// Token bucket over one second's worth of lines.
+/// One second's worth of lines at once, from the start.
 class line_rate
 {
 public:
+    line_rate()
+    {
+        const time_point now = std::chrono::steady_clock::now();
+        this->lines.configure(lines_per_second, lines_per_second, now);
+        this->lines.give_back(lines_per_second, now);
+    }
+
     bool take()
     {
         const std::lock_guard lock{this->mutex};
-        const auto now = std::chrono::steady_clock::now();
-        const std::chrono::duration<double> passed = now - this->refilled;
-        this->refilled = now;
-        this->tokens = std::min(
-            lines_per_second, this->tokens + passed.count() * lines_per_second);
-        if (this->tokens < 1)
+        const time_point now = std::chrono::steady_clock::now();
+        if (this->lines.level(now) < 1)
         {
             return false;
         }
-        this->tokens -= 1;
+        this->lines.take(1, now);
         return true;
     }
 
 private:
     std::mutex mutex;
-    double tokens = lines_per_second;
-    std::chrono::steady_clock::time_point refilled =
-        std::chrono::steady_clock::now();
+    token_bucket lines;
 };
 
 bool may_write(level at)
--- a/source/limits/token_bucket.cpp
+++ b/source/common/token_bucket.cpp
@@ -1,6 +1,4 @@
-#include "limits/token_bucket.hpp"
-
-#include "limits/limit_timing.hpp"
+#include "common/token_bucket.hpp"
 
 #include <algorithm>
 
--- a/source/limits/client_workspace.hpp
+++ b/source/limits/client_workspace.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "common/token_bucket.hpp"
 #include "common/units.hpp"
 #include "limits/demand_meter.hpp"
 #include "limits/limit_messages.hpp"
 #include "limits/limit_timing.hpp"
-#include "limits/token_bucket.hpp"
 
 #include <cstdint>
 #include <variant>
--- a/source/limits/limit_timing.hpp
+++ b/source/limits/limit_timing.hpp
@@ -37,15 +37,4 @@
     duration idle = std::chrono::seconds{1};
 };
 
-inline double to_seconds(duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
-inline duration from_seconds(double seconds)
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(seconds));
-}
-
 } // namespace fireflysail
--- a/unit_tests/limits/limit_parts_test.cpp
+++ b/unit_tests/limits/limit_parts_test.cpp
@@ -1,8 +1,8 @@
+#include "common/token_bucket.hpp"
 #include "limits/fair_share.hpp"
 #include "limits/limit_client.hpp"
 #include "limits/owner_workspace.hpp"
 #include "limits/permit_schedule.hpp"
-#include "limits/token_bucket.hpp"
 
 #include <catch2/catch.hpp>
 
