--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -137,7 +137,7 @@
             log::channel::routing,
             "engine_unanswered",
             {{"server", server.id.str()},
-             {"lost", this->faults.is_confirmed(server.id, this->time.now())}});
+             {"lost", this->faults.is_lost(server.id, this->time.now())}});
         return;
     }
     const engine_condition& report = answer.value();
@@ -211,7 +211,7 @@
 bool engine_inquiry::is_lost(const server_id& server) const
 {
     const absl::MutexLock lock{&this->mutex};
-    return this->faults.is_confirmed(server, this->time.now());
+    return this->faults.is_lost(server, this->time.now());
 }
 
 bool engine_inquiry::is_gone(const server_id& server) const
@@ -230,7 +230,7 @@
         [this, now](const server_id& server)
         {
             this->mutex.AssertReaderHeld();
-            return !this->faults.is_confirmed(server, now);
+            return !this->faults.is_lost(server, now);
         });
     return servers;
 }
--- a/source/routing/engine_faults.cpp
+++ b/source/routing/engine_faults.cpp
@@ -107,7 +107,7 @@
     return due;
 }
 
-bool engine_faults::is_confirmed(const server_id& server, time_point now) const
+bool engine_faults::is_lost(const server_id& server, time_point now) const
 {
     const auto known = this->records.find(server);
     return known != this->records.end() && this->is_lost(known->second, now);
--- a/source/routing/engine_faults.hpp
+++ b/source/routing/engine_faults.hpp
@@ -89,7 +89,7 @@
 
     /// Enough inquiries failed, or it refuses though it has room: its layers
     /// count as lost.
-    bool is_confirmed(const server_id& server, time_point now) const;
+    bool is_lost(const server_id& server, time_point now) const;
 
     /// Enough inquiries failed: what ran on it has ended. One that refuses may
     /// still be at work on what it took before.
--- a/unit_tests/routing/engine_faults_test.cpp
+++ b/unit_tests/routing/engine_faults_test.cpp
@@ -52,14 +52,14 @@
     CHECK(faults.take_due_inquiries(start) == std::vector{engine_a});
     CHECK(faults.take_due_inquiries(start + 100ms).empty());
     faults.inquiry_failed(engine_a, start + 100ms);
-    CHECK_FALSE(faults.is_confirmed(engine_a, start));
+    CHECK_FALSE(faults.is_lost(engine_a, start));
     CHECK(faults.take_due_inquiries(start + 400ms) == std::vector{engine_a});
     faults.inquiry_failed(engine_a, start + 500ms);
-    CHECK(faults.is_confirmed(engine_a, start));
+    CHECK(faults.is_lost(engine_a, start));
     CHECK(faults.is_gone(engine_a));
     CHECK(faults.avoided(start + 1h) == std::vector{engine_a});
     faults.inquiry_answered(engine_a, engine_standing::ready, start + 1h);
-    CHECK_FALSE(faults.is_confirmed(engine_a, start));
+    CHECK_FALSE(faults.is_lost(engine_a, start));
     CHECK(faults.avoided(start + 1h).empty());
 }
 
@@ -111,17 +111,17 @@
 {
     engine_faults faults{{}};
     const time_point second = refuse(faults, 2, engine_standing::ready);
-    CHECK_FALSE(faults.is_confirmed(engine_a, second));
+    CHECK_FALSE(faults.is_lost(engine_a, second));
     engine_faults refusing{{}};
     const time_point third = refuse(refusing, 3, engine_standing::ready);
-    CHECK(refusing.is_confirmed(engine_a, third));
+    CHECK(refusing.is_lost(engine_a, third));
 }
 
 TEST_CASE("an engine whose memory is full is not lost")
 {
     engine_faults faults{{}};
     const time_point last = refuse(faults, 6, engine_standing::busy);
-    CHECK_FALSE(faults.is_confirmed(engine_a, last));
+    CHECK_FALSE(faults.is_lost(engine_a, last));
 }
 
 TEST_CASE("an engine that refused is tried again after a rest")
@@ -129,18 +129,18 @@
     engine_faults faults{{}};
     const time_point last = refuse(faults, 3, engine_standing::ready);
     // The third suspicion lasts 1.6 s, the rest 3 s.
-    CHECK(faults.is_confirmed(engine_a, last + 4599ms));
-    CHECK_FALSE(faults.is_confirmed(engine_a, last + 4600ms));
+    CHECK(faults.is_lost(engine_a, last + 4599ms));
+    CHECK_FALSE(faults.is_lost(engine_a, last + 4600ms));
     CHECK(faults.avoided(last + 4600ms).empty());
     faults.report(engine_a, engine_fault::named_by_peer, last + 4600ms);
-    CHECK(faults.is_confirmed(engine_a, last + 4600ms));
+    CHECK(faults.is_lost(engine_a, last + 4600ms));
 }
 
 TEST_CASE("an engine that refuses and says that it leaves is lost at once")
 {
     engine_faults faults{{}};
     const time_point first = refuse(faults, 1, engine_standing::leaving);
-    CHECK(faults.is_confirmed(engine_a, first + 100ms));
+    CHECK(faults.is_lost(engine_a, first + 100ms));
     // It may still be at work for streams that began before.
     CHECK_FALSE(faults.is_gone(engine_a));
 }
@@ -151,5 +151,5 @@
     faults.report(engine_a, engine_fault::in_silent_pipeline, start);
     CHECK_FALSE(faults.refuses(engine_a, start));
     faults.inquiry_answered(engine_a, engine_standing::leaving, start + 1ms);
-    CHECK_FALSE(faults.is_confirmed(engine_a, start + 1ms));
+    CHECK_FALSE(faults.is_lost(engine_a, start + 1ms));
 }
