--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -144,11 +144,11 @@
           },
           [this]
           {
-              this->traffic.expire();
               this->note_store();
+              this->traffic.expire();
               this->ask_suspects();
               // A store that does not answer must not hold up repairs.
-              if (!this->servers_watch.status().failing_since)
+              if (!this->store_is_lost)
               {
                   this->crashes.publish();
                   this->census.step();
@@ -232,8 +232,7 @@
     // A first list that hangs does not count as failed yet.
     const bool starts_blind =
         !this->traffic.is_complete() && now - this->started_at >= outage_after;
-    this->relay.store_is_lost =
-        starts_blind || this->servers_watch.status().failing_since.has_value();
+    this->relay.store_is_lost = starts_blind || this->store_is_lost;
     if (this->census.count() > 0)
     {
         set_instances(this->relay, this->census.count());
@@ -271,7 +270,7 @@
     const auto reports = this->inquiry.ask();
     // The store tells what engines hold with fewer delays than their reports,
     // as long as it tells anything.
-    if (this->servers_watch.status().failing_since)
+    if (this->store_is_lost)
     {
         this->traffic.observe(reports);
     }
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <random>
@@ -99,7 +100,7 @@
 
     /// Written by the duties' thread alone.
     time_point last_survey{};
-    bool store_is_lost = false;
+    std::atomic<bool> store_is_lost = false;
 };
 
 } // namespace fireflysail
