--- a/source/control/instance_census.cpp
+++ b/source/control/instance_census.cpp
@@ -21,6 +21,15 @@
 
 constexpr duration retry_pause = 2s;
 
+void report_failure(std::string_view what, const std::error_code& error)
+{
+    log::event(
+        log::level::warning,
+        log::channel::control,
+        "instances_not_counted",
+        {{"step", what}, {"error", error.message()}});
+}
+
 } // namespace
 
 instance_census::instance_census(
@@ -44,12 +53,17 @@
             {kind, this->self.str()}, "1", now + short_call_time);
         // An earlier life of this instance may have written it.
         this->registered = written || written.error() == errc::conflict;
+        if (!this->registered)
+        {
+            report_failure("register", written.error());
+        }
         this->next_count = now + (this->registered ? first_count : retry_pause);
         return;
     }
     const auto listed = this->objects.list({kind}, now + short_call_time);
     if (!listed)
     {
+        report_failure("count", listed.error());
         this->next_count = now + retry_pause;
         return;
     }
--- a/source/main/relay_command.cpp
+++ b/source/main/relay_command.cpp
@@ -29,6 +29,18 @@
     }
 }
 
+void log_mistakes(const std::vector<settings_mistake>& mistakes)
+{
+    for (const auto& mistake : mistakes)
+    {
+        log::event(
+            log::level::error,
+            log::channel::settings,
+            "settings_mistake",
+            {{"path", mistake.path}, {"reason", mistake.reason}});
+    }
+}
+
 traffic_objects platform_objects()
 {
     return {
@@ -70,8 +82,12 @@
          [path]() -> std::optional<node_settings>
          {
              auto again = platform::load_node_file(path);
-             const auto* read = std::get_if<node_settings>(&again);
-             return read == nullptr ? std::nullopt : std::optional{*read};
+             if (const auto* read = std::get_if<node_settings>(&again))
+             {
+                 return *read;
+             }
+             log_mistakes(std::get<std::vector<settings_mistake>>(again));
+             return std::nullopt;
          }}};
     const bool served = process.run();
     log::finish_background_output();
