--- a/scripts/local_fleet.py
+++ b/scripts/local_fleet.py
@@ -295,7 +295,20 @@
                 pass
             time.sleep(0.02)
         raise RuntimeError(f"{name} is not ready:\n"
-                           + self.instances[name].log()[-2000:])
+                           + self.instances[name].log()[-2000:]
+                           + self._statuses())
+
+    def _statuses(self):
+        """What each instance says of itself, for the report of a failure."""
+        lines = []
+        for name, port in self.admin_ports.items():
+            try:
+                lines.append(f"{name}: " + call(
+                    port, "GET", "/v1/status", timeout=5, headers={
+                        "Authorization": f"Bearer {ADMIN_CREDENTIAL}"})[2])
+            except OSError as error:
+                lines.append(f"{name}: {error}")
+        return "\n".join(lines)
 
     def processes(self):
         return [*self.instances.values(), *self.engines.values(),
