Limits: an instance restarted at its address grants again

Cause: a new owner claims a workspace from the owner before it. After a stop that was its own earlier life at the same address, so that the claim came back to the claimant, which answered that it kept the workspace; each answer put its authority off by the start wait, and the instance stayed not ready for as long as the earlier life was remembered (2 min). The test fails without the change: no authority after 7 s.

--- a/source/limits/limit_owner.cpp
+++ b/source/limits/limit_owner.cpp
@@ -171,6 +171,11 @@
 {
     const std::lock_guard lock{this->mutex};
     claim_reply reply{claim.sequence, {}, {}};
+    if (claim.from == this->self)
+    {
+        // Meant for an earlier process that had this address.
+        return reply;
+    }
     for (const workspace_id& name : claim.workspaces)
     {
         if (this->owned.contains(name))
--- a/unit_tests/limits/limit_parts_test.cpp
+++ b/unit_tests/limits/limit_parts_test.cpp
@@ -1,6 +1,7 @@
 #include "common/token_bucket.hpp"
 #include "limits/fair_share.hpp"
 #include "limits/limit_client.hpp"
+#include "limits/limit_owner.hpp"
 #include "limits/owner_workspace.hpp"
 #include "limits/permit_schedule.hpp"
 
@@ -9,6 +10,7 @@
 #include <atomic>
 #include <chrono>
 #include <cmath>
+#include <memory>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -208,3 +210,28 @@
     // 1000/s for 2 s, and the burst.
     CHECK(granted <= 2010);
 }
+
+TEST_CASE("an instance restarted at its address is not kept from granting")
+{
+    // The claim to the life before is delivered to the address of both.
+    const instance_id before{"b.1"};
+    const instance_id after{"b.2"};
+    const limits_view view{after, {after}, {before}, 1};
+    auto lists = std::make_shared<lists_snapshot>();
+    lists->plans.emplace(acme, plan_entry{acme, plan_id{"gold"}, {}, {}});
+    limit_owner owner{after};
+    const limit_timing timing;
+    const time_point start{10s};
+    time_point now = start;
+    for (; now <= start + timing.start_wait; now += 50ms)
+    {
+        owner.update_lists(lists, now);
+        owner.update_view(view, now);
+        for (const outgoing_claim& claim : owner.tick(now))
+        {
+            CHECK(claim.to == before);
+            owner.receive(claim.to, owner.answer(claim.message, now), now);
+        }
+    }
+    CHECK(owner.has_authority(now));
+}
