Routing: a layout bounded by the fullest engine, more copies a zone

Reports of all engines, read once a second in a trial, showed stages with their KV cache full while others had 90 % of theirs free: layers were dealt by rounded boundaries, so that small engines held six of eight layers beside others with five, and repairs filled neighbours to 85 %. Six copies of the model stood where memory for nine leaves room for the streams; each loss stopped up to four of the six.

Change: a split gives each layer to the engine that is emptiest with it; repairs use 70 % of an engine first and 85 % where that moves more than half of a zone; copies fill 80 % of a zone's memory.

The test of an empty zone expected ten layers of the largest engine, as rounding gave; it now asks for the least fill that whole layers allow. The one of a large zone counts four copies where three stood.

--- a/source/routing/layer_layout.cpp
+++ b/source/routing/layer_layout.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <numeric>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -137,25 +138,23 @@
         for (std::uint32_t turn = 0; turn < this->layers; ++turn)
         {
             const auto hole = this->first_hole(copy);
-            const bool filled = hole && (this->fill_with_empty(*hole) ||
-                                         this->fill_with_neighbours(*hole));
-            if (!filled)
+            if (!hole || !this->fill_cheaply(*hole))
             {
                 return;
             }
         }
     }
 
-    std::uint32_t limit(const layout_engine& member) const
+    static std::uint32_t limit(const layout_engine& member, double fill)
     {
         return static_cast<std::uint32_t>(
-            std::floor(member.most_layers * this->options.repair_fill));
+            std::floor(member.most_layers * fill));
     }
 
-    std::uint32_t spare(const layout_engine& member) const
+    static std::uint32_t spare(const layout_engine& member, double fill)
     {
         const std::uint32_t held = member.held ? member.held->size() : 0;
-        const std::uint32_t most = this->limit(member);
+        const std::uint32_t most = limit(member, fill);
         return most > held ? most - held : 0;
     }
 
@@ -175,31 +174,35 @@
         this->steps.push_back({member.id, range});
     }
 
-    /// Gives [first, last) to the group, in its order, by memory.
+    /// Gives [first, last) to the group, in its order, so that the fullest
+    /// engine is as empty as can be.
     void split(const group& among, std::uint32_t first, std::uint32_t last)
     {
-        const auto total = std::accumulate(
-            among.begin(),
-            among.end(),
-            std::uint32_t{0},
-            [](std::uint32_t sum, const layout_engine* member)
+        std::vector<std::uint32_t> sizes(among.size(), 0);
+        const auto fill_with_one_more = [&](std::size_t index)
+        {
+            return (sizes[index] + 1.0) / among[index]->most_layers;
+        };
+        for (std::uint32_t i = first; i < last; ++i)
+        {
+            const auto emptiest = std::ranges::min_element(
+                std::views::iota(std::size_t{0}, among.size()),
+                {},
+                fill_with_one_more);
+            if (fill_with_one_more(*emptiest) > 1)
             {
-                return sum + member->most_layers;
-            });
-        std::uint32_t memory_before = 0;
+                break;
+            }
+            ++sizes[*emptiest];
+        }
         std::uint32_t at = first;
-        for (layout_engine* member : among)
+        for (std::size_t index = 0; index < among.size(); ++index)
         {
-            memory_before += member->most_layers;
-            const auto ideal = static_cast<std::uint32_t>(std::lround(
-                static_cast<double>(last - first) * memory_before / total));
-            const std::uint32_t end =
-                std::min(first + ideal, at + member->most_layers);
-            if (end > at)
+            if (sizes[index] > 0)
             {
-                this->place(*member, make_range(at, end));
+                this->place(*among[index], make_range(at, at + sizes[index]));
+                at += sizes[index];
             }
-            at = std::max(at, end);
         }
     }
 
@@ -237,7 +240,24 @@
     bool fill(layer_range hole)
     {
         return this->fill_with_empty(hole) ||
-               this->fill_with_neighbours(hole) || this->split_around(hole);
+               this->fill_with_neighbours(hole, this->options.repair_fill) ||
+               this->split_around(
+                   hole, this->options.repair_fill, this->members.size() / 2) ||
+               this->fill_with_neighbours(
+                   hole, this->options.tight_repair_fill) ||
+               this->split_around(
+                   hole,
+                   this->options.tight_repair_fill,
+                   this->members.size()) ||
+               this->split_anew();
+    }
+
+    bool fill_cheaply(layer_range hole)
+    {
+        return this->fill_with_empty(hole) ||
+               this->fill_with_neighbours(hole, this->options.repair_fill) ||
+               this->fill_with_neighbours(
+                   hole, this->options.tight_repair_fill);
     }
 
     bool fill_with_empty(layer_range hole)
@@ -246,7 +266,9 @@
             this->members,
             [this, hole](const layout_engine& member)
             {
-                return !member.held && this->limit(member) >= hole.size();
+                return !member.held &&
+                       limit(member, this->options.tight_repair_fill) >=
+                           hole.size();
             });
         if (found == this->members.end())
         {
@@ -260,13 +282,13 @@
     /// One that reaches over the hole belongs to another copy, and would lose
     /// layers to it.
     template <class Touches>
-    layout_engine* neighbour(Touches&& touches)
+    layout_engine* neighbour(double fill, Touches&& touches)
     {
         layout_engine* best = nullptr;
         for (layout_engine& member : this->members)
         {
             const bool better =
-                best == nullptr || this->spare(member) > this->spare(*best);
+                best == nullptr || spare(member, fill) > spare(*best, fill);
             if (member.held && touches(*member.held) && better)
             {
                 best = &member;
@@ -275,22 +297,24 @@
         return best;
     }
 
-    bool fill_with_neighbours(layer_range hole)
+    bool fill_with_neighbours(layer_range hole, double fill)
     {
         layout_engine* before = this->neighbour(
+            fill,
             [hole](const layer_range& range)
             {
                 return range.last == hole.first;
             });
         layout_engine* after = this->neighbour(
+            fill,
             [hole](const layer_range& range)
             {
                 return range.first == hole.last;
             });
         const std::uint32_t room_before =
-            before == nullptr ? 0 : this->spare(*before);
+            before == nullptr ? 0 : spare(*before, fill);
         const std::uint32_t room_after =
-            after == nullptr ? 0 : this->spare(*after);
+            after == nullptr ? 0 : spare(*after, fill);
         if (room_before + room_after < hole.size())
         {
             return false;
@@ -315,22 +339,10 @@
     }
 
     /// Splits the smallest run of engines around the hole that has the room.
-    bool split_around(layer_range hole)
+    /// They serve little meanwhile, so it may not have more than `most`.
+    bool split_around(layer_range hole, double fill, std::size_t most)
     {
-        group placed;
-        for (layout_engine& member : this->members)
-        {
-            if (member.held)
-            {
-                placed.push_back(&member);
-            }
-        }
-        std::ranges::sort(
-            placed,
-            [](const layout_engine* a, const layout_engine* b)
-            {
-                return a->held->first < b->held->first;
-            });
+        const group placed = this->in_order();
         const auto middle = std::ranges::find_if(
             placed,
             [hole](const layout_engine* member)
@@ -346,14 +358,18 @@
                 (to == placed.end() || middle - from <= to - middle);
             left_next ? --from : ++to;
             const group window(from, to);
+            if (window.size() > most)
+            {
+                return false;
+            }
             const auto span = this->span_of(window, hole);
             const auto room = std::accumulate(
                 window.begin(),
                 window.end(),
                 std::uint32_t{0},
-                [this](std::uint32_t sum, const layout_engine* member)
+                [fill](std::uint32_t sum, const layout_engine* member)
                 {
-                    return sum + this->limit(*member);
+                    return sum + limit(*member, fill);
                 });
             if (room >= span.size())
             {
@@ -361,10 +377,36 @@
                 return true;
             }
         }
-        this->split(placed, 0, this->layers);
+        return false;
+    }
+
+    /// One copy over all engines that hold layers.
+    bool split_anew()
+    {
+        this->split(this->in_order(), 0, this->layers);
         return !this->first_hole(1);
     }
 
+    /// Engines that hold layers, by the first of them.
+    group in_order()
+    {
+        group placed;
+        for (layout_engine& member : this->members)
+        {
+            if (member.held)
+            {
+                placed.push_back(&member);
+            }
+        }
+        std::ranges::sort(
+            placed,
+            [](const layout_engine* a, const layout_engine* b)
+            {
+                return a->held->first < b->held->first;
+            });
+        return placed;
+    }
+
     static layer_range span_of(const group& window, layer_range hole)
     {
         auto first = hole.first;
@@ -410,8 +452,9 @@
                 return;
             }
             const auto first = fullest->held->first.value();
-            const auto size =
-                std::min(fullest->held->size(), this->limit(empty));
+            const auto size = std::min(
+                fullest->held->size(),
+                limit(empty, this->options.tight_repair_fill));
             this->place(empty, make_range(first, first + size));
         }
     }
--- a/source/routing/layer_layout.hpp
+++ b/source/routing/layer_layout.hpp
@@ -24,11 +24,13 @@
 struct layout_options
 {
     /// Part of its layers' worth of memory that an engine may fill when it
-    /// takes over lost layers; the rest stays for KV cache.
-    double repair_fill = 0.85;
+    /// takes over lost layers; the rest stays for KV cache. The fuller one is
+    /// used where the first leaves a hole.
+    double repair_fill = 0.7;
+    double tight_repair_fill = 0.85;
     /// Part of a zone's memory that copies of the model may fill; a zone holds
     /// as many as fit, and at least one.
-    double copies_fill = 0.62;
+    double copies_fill = 0.8;
 };
 
 struct layout_step
@@ -41,9 +43,10 @@
 
 /// Orders that give every zone which can hold the whole model as many copies as
 /// leave room for KV cache, each spread over its part of the engines of the
-/// zone in proportion to their memory. Streams that stay in a zone use no pipe
-/// between zones, and the memory that is left is KV cache. After a loss the
-/// neighbours of the hole take it over, as each then loads a few layers only,
+/// zone so that the fullest is as empty as can be: the engine with the least
+/// KV cache bounds the streams of its pipeline. Streams that stay in a zone use
+/// no pipe between zones. A loss stops only the pipelines of one copy. The
+/// neighbours of a hole take it over, as each then loads a few layers only,
 /// also where another copy still has them; a larger part of the zone is split
 /// anew only where the neighbours lack memory. Nothing is moved that need not
 /// be.
--- a/unit_tests/routing/layer_layout_test.cpp
+++ b/unit_tests/routing/layer_layout_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <ranges>
 
 using namespace fireflysail;
 
@@ -84,8 +85,38 @@
     CHECK(steps.size() == engines.size());
     carry_out(engines, steps);
     check_whole(engines);
-    const auto& big = engines.front();
-    CHECK(big.held->size() == 10);
+}
+
+TEST_CASE("streams fill a zone's engines with little KV cache last")
+{
+    // The stage with the least KV cache bounds the streams of a pipeline, so
+    // no other split may leave the fullest engine emptier. 80 layers on 156
+    // places: seven twelfths are the least that whole layers allow.
+    auto engines = one_zone("a");
+    carry_out(engines, plan_layout(engines, model_layers));
+    const auto fill = [](const layout_engine& one)
+    {
+        return static_cast<double>(one.held->size()) / one.most_layers;
+    };
+    const double fullest =
+        std::ranges::max(engines | std::views::transform(fill));
+    CHECK(fullest <= 7.0 / 12);
+}
+
+TEST_CASE("a repair leaves room for KV cache while there is any")
+{
+    // Crashes at full load: all streams of the zone pass the repaired stage.
+    // The loss of the largest engine would move most of the zone.
+    auto engines = one_zone("a");
+    carry_out(engines, plan_layout(engines, model_layers));
+    const auto index = GENERATE(range(1, 14));
+    engines.erase(engines.begin() + index);
+    carry_out(engines, plan_layout(engines, model_layers));
+    check_whole(engines);
+    for (const layout_engine& one : engines)
+    {
+        CHECK(one.held->size() <= 0.7 * one.most_layers);
+    }
 }
 
 TEST_CASE("a layout that is whole is left alone")
@@ -186,9 +217,8 @@
             ++holders[i];
         }
     }
-    CHECK(std::ranges::min(holders) == 3);
-    // No pipeline over one copy has more stages than engines accept.
-    CHECK(engines.size() / 3 < 32);
+    // 424 places, of which four copies take 320.
+    CHECK(std::ranges::min(holders) == 4);
     engines.erase(engines.begin() + 5);
     carry_out(engines, plan_layout(engines, model_layers));
     check_whole(engines);
