Notices: instances tell one another of failed engines

Cause: each of 90 instances learned of a lost engine by a request of its own that was refused. The leader, which sees one request in 90, began its repairs when the entries lapsed (3.75 s after a dark loss).

A named engine is avoided for one first suspicion; two instances without an answer confirm a loss; what one instance alone could not reach is not told, as it may be cut off itself. Only the instance that was told and the leader ask the engine.

--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -31,6 +31,7 @@
     : board{board}
     , engines{engines}
     , time{time}
+    , teller{[](const server_id&, engine_news) {}}
     , faults{engine_faults::options{}}
 {
 }
@@ -49,18 +50,92 @@
     return "unknown";
 }
 
-void engine_inquiry::report(const server_id& server, engine_fault fault)
+std::string_view name_of(engine_news news)
+{
+    switch (news)
+    {
+    case engine_news::failed:
+        return "failed";
+    case engine_news::unanswered:
+        return "unanswered";
+    case engine_news::answered:
+        return "answered";
+    }
+    return "unknown";
+}
+
+void engine_inquiry::set_teller(
+    std::function<void(const server_id&, engine_news)> teller)
+{
+    this->teller = std::move(teller);
+}
+
+void engine_inquiry::tell(const server_id& server, engine_news news) const
+{
+    this->teller(server, news);
+}
+
+void engine_inquiry::hear(
+    const instance_id& from, const server_id& server, engine_news news)
 {
+    const time_point now = this->time.now();
+    const auto fleet = this->board.fleet.load();
+    if (std::ranges::find(fleet->engines, server, &engine::id) ==
+        fleet->engines.end())
+    {
+        return;
+    }
     const absl::MutexLock lock{&this->mutex};
-    const auto before = this->faults.version();
-    this->faults.report(server, fault, this->time.now());
-    if (this->faults.version() != before)
+    const bool was_avoided = this->faults.is_avoided(server, now);
+    const bool was_lost = this->faults.is_lost(server, now);
+    switch (news)
+    {
+    case engine_news::failed:
+        this->faults.heard_fault(server, now);
+        break;
+    case engine_news::unanswered:
+        this->faults.heard_unanswered(server, from, now);
+        break;
+    case engine_news::answered:
+        this->faults.heard_answered(server, now);
+        break;
+    }
+    const bool is_avoided = this->faults.is_avoided(server, now);
+    const bool is_lost = this->faults.is_lost(server, now);
+    if (is_avoided != was_avoided || is_lost != was_lost)
     {
         log::event(
-            log::level::warning,
+            log::level::info,
             log::channel::routing,
-            "engine_suspected",
-            {{"server", server.str()}, {"cause", name_of(fault)}});
+            "engine_news_heard",
+            {{"server", server.str()},
+             {"from", from.str()},
+             {"news", name_of(news)},
+             {"avoided", is_avoided},
+             {"lost", is_lost}});
+    }
+}
+
+void engine_inquiry::report(const server_id& server, engine_fault fault)
+{
+    {
+        const absl::MutexLock lock{&this->mutex};
+        const auto before = this->faults.version();
+        this->faults.report(server, fault, this->time.now());
+        if (this->faults.version() == before)
+        {
+            return;
+        }
+    }
+    log::event(
+        log::level::warning,
+        log::channel::routing,
+        "engine_suspected",
+        {{"server", server.str()}, {"cause", name_of(fault)}});
+    // What this instance alone met may be its own network.
+    if (fault == engine_fault::named_by_peer)
+    {
+        this->tell(server, engine_news::failed);
     }
 }
 
@@ -69,7 +144,7 @@
     this->report(first_stage, engine_fault::in_silent_pipeline);
 }
 
-engine_inquiry::reports engine_inquiry::ask()
+engine_inquiry::reports engine_inquiry::ask(engine_faults::hearsay include)
 {
     std::vector<server_id> due;
     const auto fleet = this->board.fleet.load();
@@ -84,7 +159,7 @@
             {
                 return find_engine(id) != fleet->engines.end();
             });
-        due = this->faults.take_due_inquiries(this->time.now());
+        due = this->faults.take_due_inquiries(this->time.now(), include);
     }
     // The rest is due again at the next call.
     due.resize(std::min(due.size(), most_inquiries));
@@ -130,14 +205,18 @@
 {
     if (!answer)
     {
-        const absl::MutexLock lock{&this->mutex};
-        this->faults.inquiry_failed(server.id, this->time.now());
+        bool lost = false;
+        {
+            const absl::MutexLock lock{&this->mutex};
+            this->faults.inquiry_failed(server.id, this->time.now());
+            lost = this->faults.is_lost(server.id, this->time.now());
+        }
         log::event(
             log::level::warning,
             log::channel::routing,
             "engine_unanswered",
-            {{"server", server.id.str()},
-             {"lost", this->faults.is_lost(server.id, this->time.now())}});
+            {{"server", server.id.str()}, {"lost", lost}});
+        this->tell(server.id, engine_news::unanswered);
         return;
     }
     const engine_condition& report = answer.value();
@@ -163,8 +242,17 @@
     if (holds_layers && report.stalled.empty())
     {
         const engine_standing standing = this->standing_of(server, report);
-        const absl::MutexLock lock{&this->mutex};
-        this->faults.inquiry_answered(server.id, standing, this->time.now());
+        bool was_unanswered = false;
+        {
+            const absl::MutexLock lock{&this->mutex};
+            was_unanswered = this->faults.is_unanswered(server.id);
+            this->faults.inquiry_answered(
+                server.id, standing, this->time.now());
+        }
+        if (was_unanswered)
+        {
+            this->tell(server.id, engine_news::answered);
+        }
     }
 }
 
--- a/source/control/engine_inquiry.hpp
+++ b/source/control/engine_inquiry.hpp
@@ -16,6 +16,17 @@
 namespace fireflysail
 {
 
+/// What instances tell one another of an engine.
+enum class engine_news
+{
+    /// An engine named it as the one that a request failed at.
+    failed,
+    /// An inquiry got no answer.
+    unanswered,
+    /// An inquiry got an answer again.
+    answered,
+};
+
 /// Suspicions that the traffic thread and the duties share, and the inquiries
 /// that settle them. Safe to use from several threads.
 class engine_inquiry
@@ -33,7 +44,16 @@
 
     /// Asks the engines under suspicion; what those tell that answer. Blocks
     /// for a bounded time each.
-    reports ask();
+    reports
+    ask(engine_faults::hearsay include = engine_faults::hearsay::left_out);
+
+    /// Called with what other instances should know, on the thread that found
+    /// it out. Set once, before other threads use this.
+    void set_teller(std::function<void(const server_id&, engine_news)> teller);
+
+    /// What another instance tells.
+    void
+    hear(const instance_id& from, const server_id& server, engine_news news);
 
     /// Asks every engine what it holds, suspected or not.
     reports survey();
@@ -49,6 +69,7 @@
     std::vector<server_id> lost() const;
 
 private:
+    void tell(const server_id& server, engine_news news) const;
     /// Asks one engine and judges it by its answer.
     void ask_one(const engine& server, reports& answered);
     void settle(const engine& server, const result<engine_condition>& answer);
@@ -60,10 +81,12 @@
     blackboard& board;
     engine_control& engines;
     const clock& time;
+    std::function<void(const server_id&, engine_news)> teller;
     mutable absl::Mutex mutex;
     engine_faults faults ABSL_GUARDED_BY(mutex);
 };
 
 std::string_view name_of(engine_fault fault);
+std::string_view name_of(engine_news news);
 
 } // namespace fireflysail
--- a/source/control/instance_census.cpp
+++ b/source/control/instance_census.cpp
@@ -2,7 +2,12 @@
 
 #include "common/error.hpp"
 #include "common/log.hpp"
+#include "control/field_reader.hpp"
 
+#include <algorithm>
+#include <limits>
+#include <memory>
+#include <optional>
 #include <utility>
 
 namespace fireflysail
@@ -30,11 +35,39 @@
         {{"step", what}, {"error", error.message()}});
 }
 
+constexpr std::uint64_t largest_port = 65535;
+
+std::string encode_address(const endpoint& address)
+{
+    return nlohmann::json{{"host", address.host}, {"port", address.port}}
+        .dump();
+}
+
+std::optional<fellow_instance> decode_fellow(const stored_object& object)
+{
+    std::vector<mistake> mistakes;
+    const auto document = parse_object(object.value, mistakes);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    field_reader fields{*document, "", mistakes};
+    fellow_instance found;
+    found.id = instance_id{object.key.name};
+    found.address.host = fields.text("host");
+    found.address.port = static_cast<int>(fields.whole("port", largest_port));
+    if (!mistakes.empty())
+    {
+        return std::nullopt;
+    }
+    return found;
+}
+
 } // namespace
 
 instance_census::instance_census(
-    instance_id self, store& objects, const clock& time)
-    : self{std::move(self)}
+    const fellow_instance& self, store& objects, const clock& time)
+    : self{self}
     , objects{objects}
     , time{time}
 {
@@ -47,19 +80,33 @@
     {
         return;
     }
+    if (this->registered)
+    {
+        this->count_all(now);
+    }
+    else
+    {
+        this->register_self(now);
+    }
+}
+
+void instance_census::register_self(time_point now)
+{
+    const auto written = this->objects.create(
+        {kind, this->self.id.str()},
+        encode_address(this->self.address),
+        now + short_call_time);
+    // An earlier life of this instance may have written it.
+    this->registered = written || written.error() == errc::conflict;
     if (!this->registered)
     {
-        const auto written = this->objects.create(
-            {kind, this->self.str()}, "1", now + short_call_time);
-        // An earlier life of this instance may have written it.
-        this->registered = written || written.error() == errc::conflict;
-        if (!this->registered)
-        {
-            report_failure("register", written.error());
-        }
-        this->next_count = now + (this->registered ? first_count : retry_pause);
-        return;
+        report_failure("register", written.error());
     }
+    this->next_count = now + (this->registered ? first_count : retry_pause);
+}
+
+void instance_census::count_all(time_point now)
+{
     const auto listed = this->objects.list({kind}, now + short_call_time);
     if (!listed)
     {
@@ -67,14 +114,38 @@
         this->next_count = now + retry_pause;
         return;
     }
-    const std::size_t found = listed.value().objects.size();
-    if (found != this->counted.exchange(found))
+    auto found = std::make_shared<std::vector<fellow_instance>>();
+    for (const stored_object& object : listed.value().objects)
+    {
+        const auto fellow = decode_fellow(object);
+        const bool is_self = object.key.name == this->self.id.str();
+        if (!is_self && fellow)
+        {
+            found->push_back(*fellow);
+        }
+        if (is_self && fellow != this->self)
+        {
+            // Written by an earlier life at another address.
+            const auto corrected = this->objects.update(
+                object.key,
+                encode_address(this->self.address),
+                object.version,
+                now + short_call_time);
+            if (!corrected)
+            {
+                report_failure("correct", corrected.error());
+            }
+        }
+    }
+    this->others.publish(std::move(found));
+    const std::size_t number = listed.value().objects.size();
+    if (number != this->counted.exchange(number))
     {
         log::event(
             log::level::info,
             log::channel::control,
             "instances_counted",
-            {{"count", found}, {"revision", listed.value().version.value()}});
+            {{"count", number}, {"revision", listed.value().version.value()}});
     }
     this->next_count = now + count_interval;
 }
@@ -84,4 +155,10 @@
     return this->counted.load();
 }
 
+std::shared_ptr<const std::vector<fellow_instance>>
+instance_census::fellows() const
+{
+    return this->others.load();
+}
+
 } // namespace fireflysail
--- a/source/control/instance_census.hpp
+++ b/source/control/instance_census.hpp
@@ -1,25 +1,39 @@
 #pragma once
 
+#include "blackboard/fleet.hpp"
 #include "common/clock.hpp"
 #include "common/identifiers.hpp"
+#include "common/rcu_cell.hpp"
 #include "store/store.hpp"
 
 #include <atomic>
 #include <cstddef>
+#include <memory>
+#include <vector>
 
 namespace fireflysail
 {
 
+/// Another instance, and where it takes notices.
+struct fellow_instance
+{
+    instance_id id;
+    endpoint address;
+
+    bool operator==(const fellow_instance&) const = default;
+};
+
 /// Counts the instances that serve, by an object that each writes once. Objects
 /// of instances that are gone stay, so the count errs upwards: for what is
 /// divided among the instances that is the safe side. Used by one thread;
-/// `count` by any.
+/// `count` and `fellows` by any.
 class instance_census
 {
 public:
     static constexpr const char* kind = "instance";
 
-    instance_census(instance_id self, store& objects, const clock& time);
+    instance_census(
+        const fellow_instance& self, store& objects, const clock& time);
 
     /// Makes the calls that are due.
     void step();
@@ -27,13 +41,20 @@
     /// Zero while not known.
     std::size_t count() const;
 
+    /// The others that were counted; some may be gone.
+    std::shared_ptr<const std::vector<fellow_instance>> fellows() const;
+
 private:
-    const instance_id self;
+    void register_self(time_point now);
+    void count_all(time_point now);
+
+    const fellow_instance self;
     store& objects;
     const clock& time;
     time_point next_count{};
     bool registered = false;
     std::atomic<std::size_t> counted{0};
+    rcu_cell<std::vector<fellow_instance>> others;
 };
 
 } // namespace fireflysail
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.hpp"
 
+#include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -122,7 +123,10 @@
           this->time,
           crash_watch_options(this->settings.bounds),
           this->random()}
-    , census{this->settings.self, this->adapter.objects, this->time}
+    , census{
+          {this->settings.self, this->settings.notices},
+          this->adapter.objects,
+          this->time}
     , inquiry{this->board, this->adapter.engines, this->time}
     , layout{this->board, this->adapter.engines, this->inquiry, this->time}
     , duty{
@@ -156,6 +160,16 @@
               this->traffic.set_lost(this->inquiry.lost());
               this->survey_if_blind();
           }}
+    , notices{
+          this->io.get_executor(),
+          [this](const notice& told)
+          {
+              this->inquiry.hear(told.from, told.server, told.news);
+              if (this->duty.leads())
+              {
+                  this->duty.wake();
+              }
+          }}
     , pool{this->io.get_executor(), this->time}
     , stalls{this->io.get_executor(), this->time}
     , relay{
@@ -202,6 +216,7 @@
             {{"error", failed.message()}});
         return false;
     }
+    this->open_notices();
     this->wait_for_signal();
     this->config_watch.start();
     this->servers_watch.start();
@@ -265,9 +280,50 @@
          {"failures", status.counts.failures}});
 }
 
+void relay_process::open_notices()
+{
+    this->inquiry.set_teller(
+        [this](const server_id& server, engine_news news)
+        {
+            this->tell_others(server, news);
+        });
+    if (this->settings.notices.port == 0)
+    {
+        return;
+    }
+    if (const auto failed = this->notices.open(this->settings.notices))
+    {
+        // Hints only: all else goes on without them.
+        log::event(
+            log::level::error,
+            log::channel::main,
+            "cannot_take_notices",
+            {{"error", failed.message()}});
+    }
+}
+
+void relay_process::tell_others(const server_id& server, engine_news news)
+{
+    asio::post(
+        this->io,
+        [this, server, news]
+        {
+            std::vector<endpoint> receivers;
+            const auto fellows = this->census.fellows();
+            std::ranges::transform(
+                *fellows,
+                std::back_inserter(receivers),
+                &fellow_instance::address);
+            this->notices.send({this->settings.self, server, news}, receivers);
+        });
+}
+
 void relay_process::ask_suspects()
 {
-    const auto reports = this->inquiry.ask();
+    // The leader repairs losses that others met, so it asks about them too.
+    const auto reports = this->inquiry.ask(
+        this->duty.leads() ? engine_faults::hearsay::included
+                           : engine_faults::hearsay::left_out);
     // The store tells what engines hold with fewer delays than their reports,
     // as long as it tells anything.
     if (this->store_is_lost)
@@ -335,6 +391,10 @@
     add("engines_avoided", this->inquiry.avoided().size());
     add("engines_lost", this->inquiry.lost().size());
     add("leads", this->duty.leads() ? 1 : 0);
+    add("notices_sent_total", this->notices.counts.sent);
+    add("notices_unsent_total", this->notices.counts.unsent);
+    add("notices_received_total", this->notices.counts.received);
+    add("notices_malformed_total", this->notices.counts.malformed);
     add("backend_connections_opened_total", this->pool.counts.opened);
     add("backend_connections_reused_total", this->pool.counts.reused);
     add("backend_connections_failed_total", this->pool.counts.failed);
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -6,6 +6,7 @@
 #include "control/instance_census.hpp"
 #include "control/layout_controller.hpp"
 #include "control/traffic_controller.hpp"
+#include "notices/notice_channel.hpp"
 #include "relay/relay_server.hpp"
 #include "settings/node_settings.hpp"
 #include "store/watch_hub.hpp"
@@ -59,6 +60,11 @@
 
     void ask_suspects();
 
+    void open_notices();
+
+    /// Passes on what this instance found out of an engine. Any thread.
+    void tell_others(const server_id& server, engine_news news);
+
     /// Asks the engines themselves while the store cannot be read and a zone
     /// has no pipeline.
     void survey_if_blind();
@@ -85,6 +91,7 @@
     duty_thread duty;
 
     asio::io_context io{1};
+    notice_channel notices;
     backend_pool pool;
     server_balancer servers;
     stall_monitor stalls;
--- /dev/null
+++ b/source/notices/notice.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "common/identifiers.hpp"
+#include "control/engine_inquiry.hpp"
+
+namespace fireflysail
+{
+
+/// What one instance tells the others of an engine. A hint: it may be lost,
+/// late or doubled, and nothing that must hold rests on it.
+struct notice
+{
+    instance_id from;
+    server_id server;
+    engine_news news = engine_news::failed;
+
+    bool operator==(const notice&) const = default;
+};
+
+} // namespace fireflysail
--- a/source/routing/engine_faults.hpp
+++ b/source/routing/engine_faults.hpp
@@ -44,6 +44,12 @@
 class engine_faults
 {
 public:
+    enum class hearsay
+    {
+        left_out,
+        included,
+    };
+
     struct options
     {
         duration first_suspicion = std::chrono::milliseconds{400};
@@ -60,6 +66,11 @@
         /// An engine that only refused is tried again so long after its last
         /// suspicion ended.
         duration refusal_rest = std::chrono::seconds{3};
+        /// Instances without an answer that confirm a loss together.
+        std::size_t witnesses_to_confirm = 2;
+        /// What a witness said counts for this long: about two inquiries of
+        /// an instance that waits for others to answer.
+        duration testimony = std::chrono::seconds{2};
     };
 
     explicit engine_faults(const options& chosen);
@@ -74,6 +85,22 @@
     void inquiry_answered(
         const server_id& server, engine_standing standing, time_point now);
 
+    /// Another instance was told by an engine that this one failed. Requests
+    /// avoid it for as long as a first suspicion lasts; the other one asks it.
+    void heard_fault(const server_id& server, time_point now);
+
+    /// Another instance got no answer to its inquiry. Two that agree, this one
+    /// counted if it asked in vain as well, confirm the loss for a while: one
+    /// alone may be cut off itself.
+    void heard_unanswered(
+        const server_id& server, const instance_id& from, time_point now);
+
+    /// Another instance that had got no answer got one.
+    void heard_answered(const server_id& server, time_point now);
+
+    /// Whether the last inquiry got no answer.
+    bool is_unanswered(const server_id& server) const;
+
     /// Whether requests were refused by it lately, so that an inquiry should
     /// ask whether it takes any.
     bool refuses(const server_id& server, time_point now) const;
@@ -81,11 +108,16 @@
     /// An inquiry got no answer: the engine stays out until it answers one.
     void inquiry_failed(const server_id& server, time_point now);
 
+    bool is_avoided(const server_id& server, time_point now) const;
+
     /// Engines that requests avoid now.
     std::vector<server_id> avoided(time_point now) const;
 
-    /// Engines that an inquiry should ask now; counts as asked.
-    std::vector<server_id> take_due_inquiries(time_point now);
+    /// Engines that an inquiry should ask now; counts as asked. Those that are
+    /// suspected by hearsay alone are asked by `hearsay` only, else every
+    /// instance would ask about each loss.
+    std::vector<server_id>
+    take_due_inquiries(time_point now, hearsay include = hearsay::left_out);
 
     /// Enough inquiries failed, or it refuses though it has room: its layers
     /// count as lost.
@@ -121,8 +153,17 @@
         /// An inquiry since the first refusal found room.
         bool has_room = false;
         time_point next_inquiry;
+        /// No request or inquiry of this instance met the fault.
+        bool is_hearsay = false;
+        /// Other instances that got no answer, and when the last said so.
+        std::vector<instance_id> witnesses;
+        time_point last_testimony;
     };
 
+    record& hear(const server_id& server, time_point now);
+    bool is_witnessed(const record& known, time_point now) const;
+
+    bool is_avoided(const record& known, time_point now) const;
     bool is_gone(const record& known) const;
     bool is_lost(const record& known, time_point now) const;
 
--- a/source/settings/node_settings.hpp
+++ b/source/settings/node_settings.hpp
@@ -56,6 +56,8 @@
     endpoint control;
     /// Metrics at a port that is the same on all instances; none if zero.
     int metrics_port = 0;
+    /// Datagrams of other instances; without a port none are sent or taken.
+    endpoint notices;
     endpoint store;
     store_rates rates;
     service_bounds bounds;
--- a/unit_tests/control/instance_census_test.cpp
+++ b/unit_tests/control/instance_census_test.cpp
@@ -11,9 +11,11 @@
 {
     manual_clock time;
     store_model objects{time};
-    instance_census first{instance_id{"a"}, objects, time};
-    instance_census second{instance_id{"b"}, objects, time};
-    instance_census restarted{instance_id{"b"}, objects, time};
+    const fellow_instance a{instance_id{"a"}, {"10.1.0.1", 7340}};
+    const fellow_instance b{instance_id{"b"}, {"10.1.0.2", 7340}};
+    instance_census first{a, objects, time};
+    instance_census second{b, objects, time};
+    instance_census restarted{b, objects, time};
     CHECK(first.count() == 0);
     first.step();
     second.step();
@@ -25,3 +27,28 @@
     CHECK(first.count() == 2);
     CHECK(restarted.count() == 2);
 }
+
+TEST_CASE("instances know where the others are")
+{
+    manual_clock time;
+    store_model objects{time};
+    const fellow_instance a{instance_id{"a"}, {"10.1.0.1", 7340}};
+    const fellow_instance b{instance_id{"b"}, {"10.1.0.2", 7340}};
+    const fellow_instance moved{instance_id{"b"}, {"10.1.0.3", 7340}};
+    instance_census first{a, objects, time};
+    instance_census second{b, objects, time};
+    first.step();
+    second.step();
+    time.advance(3s);
+    first.step();
+    CHECK(*first.fellows() == std::vector{b});
+    // Comes back at another address, which the others learn in time.
+    instance_census again{moved, objects, time};
+    again.step();
+    time.advance(3s);
+    again.step();
+    CHECK(*again.fellows() == std::vector{a});
+    time.advance(20s);
+    first.step();
+    CHECK(*first.fellows() == std::vector{moved});
+}
--- a/unit_tests/platform/node_file_test.cpp
+++ b/unit_tests/platform/node_file_test.cpp
@@ -17,6 +17,7 @@
 Region = "south"
 Seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
 BeatIntervalMs = 1200
+PortRange = [7340, 7355]
 NewField = "passed over"
 [Listen]
 Front = "10.1.0.40:8227"
@@ -56,6 +57,7 @@
     CHECK(node.self == instance_id{"edge-a-1"});
     CHECK(node.zone == zone_id{"zone-a"});
     CHECK(node.callers == endpoint{"10.1.0.40", 8227});
+    CHECK(node.notices == endpoint{"10.1.0.40", 7340});
     CHECK(node.store == endpoint{"10.200.1.7", 8223});
     CHECK(node.descriptors == 4100);
     CHECK(node.memory == byte_count{260ULL * 1024 * 1024});
--- a/unit_tests/routing/engine_faults_test.cpp
+++ b/unit_tests/routing/engine_faults_test.cpp
@@ -153,3 +153,69 @@
     faults.inquiry_answered(engine_a, engine_standing::leaving, start + 1ms);
     CHECK_FALSE(faults.is_lost(engine_a, start + 1ms));
 }
+
+TEST_CASE("what an engine told another instance keeps requests away here too")
+{
+    // Each of many instances would else send a request through the dead engine
+    // to learn of it.
+    engine_faults faults{{}};
+    faults.heard_fault(engine_a, start);
+    CHECK(faults.avoided(start + 399ms) == std::vector{engine_a});
+    CHECK(faults.avoided(start + 400ms).empty());
+    // The instance that was told asks the engine, and the one that repairs.
+    CHECK(faults.take_due_inquiries(start).empty());
+    CHECK(
+        faults.take_due_inquiries(start, engine_faults::hearsay::included) ==
+        std::vector{engine_a});
+}
+
+TEST_CASE("two instances without an answer confirm a loss, one does not")
+{
+    engine_faults faults{{}};
+    const instance_id first{"1"};
+    faults.heard_fault(engine_a, start);
+    faults.heard_unanswered(engine_a, first, start + 300ms);
+    faults.heard_unanswered(engine_a, first, start + 600ms);
+    CHECK_FALSE(faults.is_lost(engine_a, start + 600ms));
+    faults.heard_unanswered(engine_a, instance_id{"2"}, start + 700ms);
+    CHECK(faults.is_lost(engine_a, start + 700ms));
+    CHECK(faults.avoided(start + 2s) == std::vector{engine_a});
+    // What ran there counts as ended only by this instance's own inquiries.
+    CHECK_FALSE(faults.is_gone(engine_a));
+
+    SECTION("until one gets an answer")
+    {
+        faults.heard_answered(engine_a, start + 900ms);
+        CHECK_FALSE(faults.is_lost(engine_a, start + 900ms));
+        CHECK(faults.avoided(start + 900ms).empty());
+    }
+    SECTION("until this instance gets an answer")
+    {
+        faults.inquiry_answered(
+            engine_a, engine_standing::ready, start + 900ms);
+        CHECK_FALSE(faults.is_lost(engine_a, start + 900ms));
+    }
+    SECTION("for as long as what they said is fresh")
+    {
+        CHECK(faults.is_lost(engine_a, start + 2699ms));
+        CHECK_FALSE(faults.is_lost(engine_a, start + 2700ms));
+    }
+}
+
+TEST_CASE("this instance and another without an answer confirm a loss")
+{
+    engine_faults faults{{}};
+    faults.report(engine_a, engine_fault::named_by_peer, start);
+    faults.inquiry_failed(engine_a, start + 250ms);
+    CHECK_FALSE(faults.is_lost(engine_a, start + 250ms));
+    faults.heard_unanswered(engine_a, instance_id{"1"}, start + 300ms);
+    CHECK(faults.is_lost(engine_a, start + 300ms));
+}
+
+TEST_CASE("an own suspicion is not ended by what others say")
+{
+    engine_faults faults{{}};
+    faults.report(engine_a, engine_fault::named_by_peer, start);
+    faults.heard_answered(engine_a, start + 100ms);
+    CHECK(faults.avoided(start + 399ms) == std::vector{engine_a});
+}
