Routing: streams leave a pipeline whose stage is in doubt without a crowd

Cause: with 90 instances an instance has one or two streams on a pipeline, so a lost stage was found after 350 ms of silence (900 ms before a first event), past the objective for gaps, though a few instances with three streams had found it after 100 ms and an engine had named it.

Change: what an engine, an inquiry or another instance says of an engine puts the pipelines through it in doubt for a second; in doubt 100 ms of silence suffice for any number of streams and 250 ms before a first event. A suspicion wakes the duties, so that the inquiry does not wait for their next round.

--- a/source/control/engine_inquiry.cpp
+++ b/source/control/engine_inquiry.cpp
@@ -31,7 +31,7 @@
     : board{board}
     , engines{engines}
     , time{time}
-    , teller{[](const server_id&, engine_news) {}}
+    , heard_by{[](const server_id&, engine_news) {}, [] {}}
     , faults{engine_faults::options{}}
 {
 }
@@ -64,15 +64,9 @@
     return "unknown";
 }
 
-void engine_inquiry::set_teller(
-    std::function<void(const server_id&, engine_news)> teller)
+void engine_inquiry::set_listeners(listeners heard_by)
 {
-    this->teller = std::move(teller);
-}
-
-void engine_inquiry::tell(const server_id& server, engine_news news) const
-{
-    this->teller(server, news);
+    this->heard_by = std::move(heard_by);
 }
 
 void engine_inquiry::hear(
@@ -135,8 +129,9 @@
     // What this instance alone met may be its own network.
     if (fault == engine_fault::named_by_peer)
     {
-        this->tell(server, engine_news::failed);
+        this->heard_by.tell(server, engine_news::failed);
     }
+    this->heard_by.suspected();
 }
 
 void engine_inquiry::report_silence(const server_id& first_stage)
@@ -216,7 +211,7 @@
             log::channel::routing,
             "engine_unanswered",
             {{"server", server.id.str()}, {"lost", lost}});
-        this->tell(server.id, engine_news::unanswered);
+        this->heard_by.tell(server.id, engine_news::unanswered);
         return;
     }
     const engine_condition& report = answer.value();
@@ -251,7 +246,7 @@
         }
         if (was_unanswered)
         {
-            this->tell(server.id, engine_news::answered);
+            this->heard_by.tell(server.id, engine_news::answered);
         }
     }
 }
--- a/source/control/engine_inquiry.hpp
+++ b/source/control/engine_inquiry.hpp
@@ -47,9 +47,17 @@
     reports
     ask(engine_faults::hearsay include = engine_faults::hearsay::left_out);
 
-    /// Called with what other instances should know, on the thread that found
-    /// it out. Set once, before other threads use this.
-    void set_teller(std::function<void(const server_id&, engine_news)> teller);
+    /// Called on the thread that found something out.
+    struct listeners
+    {
+        /// What other instances should know.
+        std::function<void(const server_id&, engine_news)> tell;
+        /// An inquiry is due now.
+        std::function<void()> suspected;
+    };
+
+    /// Set once, before other threads use this.
+    void set_listeners(listeners heard_by);
 
     /// What another instance tells.
     void
@@ -69,7 +77,6 @@
     std::vector<server_id> lost() const;
 
 private:
-    void tell(const server_id& server, engine_news news) const;
     /// Asks one engine and judges it by its answer.
     void ask_one(const engine& server, reports& answered);
     void settle(const engine& server, const result<engine_condition>& answer);
@@ -81,7 +88,7 @@
     blackboard& board;
     engine_control& engines;
     const clock& time;
-    std::function<void(const server_id&, engine_news)> teller;
+    listeners heard_by;
     mutable absl::Mutex mutex;
     engine_faults faults ABSL_GUARDED_BY(mutex);
 };
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -165,6 +165,7 @@
           [this](const notice& told)
           {
               this->inquiry.hear(told.from, told.server, told.news);
+              this->doubt(told.server, told.news);
               if (this->duty.leads())
               {
                   this->duty.wake();
@@ -282,11 +283,15 @@
 
 void relay_process::open_notices()
 {
-    this->inquiry.set_teller(
-        [this](const server_id& server, engine_news news)
-        {
-            this->tell_others(server, news);
-        });
+    this->inquiry.set_listeners(
+        {[this](const server_id& server, engine_news news)
+         {
+             this->tell_others(server, news);
+         },
+         [this]
+         {
+             this->duty.wake();
+         }});
     if (this->settings.notices.port == 0)
     {
         return;
@@ -308,6 +313,7 @@
         this->io,
         [this, server, news]
         {
+            this->doubt(server, news);
             std::vector<endpoint> receivers;
             const auto fellows = this->census.fellows();
             std::ranges::transform(
@@ -318,6 +324,14 @@
         });
 }
 
+void relay_process::doubt(const server_id& server, engine_news news)
+{
+    if (news != engine_news::answered)
+    {
+        this->stalls.doubt(server);
+    }
+}
+
 void relay_process::ask_suspects()
 {
     // The leader repairs losses that others met, so it asks about them too.
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -65,6 +65,9 @@
     /// Passes on what this instance found out of an engine. Any thread.
     void tell_others(const server_id& server, engine_news news);
 
+    /// Streams through an engine in doubt leave it at shorter silence.
+    void doubt(const server_id& server, engine_news news);
+
     /// Asks the engines themselves while the store cannot be read and a zone
     /// has no pipeline.
     void survey_if_blind();
--- a/source/relay/stall_monitor.cpp
+++ b/source/relay/stall_monitor.cpp
@@ -24,9 +24,10 @@
 stall_monitor::run::run(
     stall_monitor& monitor,
     std::uint64_t pipeline,
+    const std::vector<server_id>& stages,
     const std::function<bool()>& on_silent)
     : monitor{monitor}
-    , id{monitor.watch.begin(pipeline, monitor.time.now())}
+    , id{monitor.watch.begin(pipeline, stages, monitor.time.now())}
 {
     monitor.handlers.emplace(this->id, on_silent);
     monitor.schedule();
@@ -43,6 +44,11 @@
     this->monitor.watch.on_event(this->id, this->monitor.time.now());
 }
 
+void stall_monitor::doubt(const server_id& engine)
+{
+    this->watch.doubt(engine, this->time.now());
+}
+
 void stall_monitor::schedule()
 {
     if (this->scheduled)
--- a/source/relay/stall_monitor.hpp
+++ b/source/relay/stall_monitor.hpp
@@ -29,6 +29,7 @@
         /// `on_silent` is called until it returns true.
         run(stall_monitor& monitor,
             std::uint64_t pipeline,
+            const std::vector<server_id>& stages,
             const std::function<bool()>& on_silent);
         ~run();
 
@@ -42,6 +43,9 @@
         const run_id id;
     };
 
+    /// See pipeline_watch::doubt().
+    void doubt(const server_id& engine);
+
 private:
     void schedule();
     void look();
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace fireflysail
@@ -38,6 +39,14 @@
         blamed.server, engine_fault::named_by_peer);
 }
 
+std::vector<server_id> servers_of(const routed_pipeline& routed)
+{
+    std::vector<server_id> servers;
+    std::ranges::transform(
+        routed.stages, std::back_inserter(servers), &stage_address::server);
+    return servers;
+}
+
 /// Closes the connection at the moment that it is set to.
 io_deadline
 closes_when_silent(const exchange& served, backend_connection& connection)
@@ -293,6 +302,7 @@
     stall_monitor::run run{
         relay.stalls,
         routed.route.key,
+        servers_of(routed),
         [&state, connection = taken.connection.get()]
         {
             return leave_silent(state, *connection);
--- a/source/routing/pipeline_watch.cpp
+++ b/source/routing/pipeline_watch.cpp
@@ -18,13 +18,39 @@
 {
 }
 
-run_id pipeline_watch::begin(std::uint64_t pipeline, time_point now)
+run_id pipeline_watch::begin(
+    std::uint64_t pipeline,
+    const std::vector<server_id>& stages,
+    time_point now)
 {
     const run_id id{++this->last_id};
-    this->runs.emplace(id, run{pipeline, now, false});
+    this->runs.emplace(id, run{pipeline, stages, now, false});
     return id;
 }
 
+void pipeline_watch::doubt(const server_id& engine, time_point now)
+{
+    absl::erase_if(
+        this->doubted_until,
+        [now](const auto& item)
+        {
+            return item.second <= now;
+        });
+    for (const auto& [id, entry] : this->runs)
+    {
+        if (std::ranges::find(entry.stages, engine) != entry.stages.end())
+        {
+            this->doubted_until[entry.pipeline] = now + this->chosen.doubt;
+        }
+    }
+}
+
+bool pipeline_watch::is_doubted(std::uint64_t pipeline, time_point now) const
+{
+    const auto found = this->doubted_until.find(pipeline);
+    return found != this->doubted_until.end() && now < found->second;
+}
+
 void pipeline_watch::on_event(run_id id, time_point now)
 {
     const auto found = this->runs.find(id);
@@ -93,11 +119,14 @@
     const auto is_silent =
         [this, now](std::uint64_t pipeline, const summary& of)
     {
+        const bool doubted = this->is_doubted(pipeline, now);
         if (of.going == 0)
         {
-            return now - of.first_begun >= this->chosen.first_event_silence;
+            return now - of.first_begun >=
+                   (doubted ? this->chosen.doubted_first_event_silence
+                            : this->chosen.first_event_silence);
         }
-        const duration shortest = of.going >= this->chosen.crowd
+        const duration shortest = doubted || of.going >= this->chosen.crowd
                                       ? this->chosen.crowd_silence
                                       : this->chosen.lone_silence;
         return now - of.last_event >= this->bound_of(pipeline, shortest);
--- a/unit_tests/routing/pipeline_watch_test.cpp
+++ b/unit_tests/routing/pipeline_watch_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
 #include <vector>
 
 using namespace fireflysail;
@@ -14,6 +15,11 @@
 constexpr std::uint64_t pipeline_b = 2;
 const time_point start{1h};
 
+server_id engine_of(std::uint64_t pipeline)
+{
+    return server_id{std::to_string(pipeline)};
+}
+
 /// Begins runs that each get an event every `gap` until the moment returned.
 time_point run_streams(
     pipeline_watch& watch, const std::vector<run_id>& runs, duration gap)
@@ -36,7 +42,7 @@
     std::vector<run_id> runs;
     for (std::size_t i = 0; i < count; ++i)
     {
-        runs.push_back(watch.begin(pipeline, start));
+        runs.push_back(watch.begin(pipeline, {engine_of(pipeline)}, start));
     }
     return runs;
 }
@@ -106,3 +112,32 @@
     CHECK(watch.empty());
     CHECK(watch.silent(start + 1h).empty());
 }
+
+TEST_CASE("one stream leaves a pipeline of which a stage is in doubt")
+{
+    // Many instances with one or two streams on each pipeline, as on a large
+    // fleet: a few of them see a crowd fall silent and tell the others.
+    pipeline_watch watch{{}};
+    const auto doubted = begin(watch, pipeline_a, 1);
+    const auto other = begin(watch, pipeline_b, 1);
+    std::vector<run_id> all = doubted;
+    all.insert(all.end(), other.begin(), other.end());
+    const time_point last = run_streams(watch, all, 35ms);
+    watch.doubt(engine_of(pipeline_a), last + 90ms);
+    CHECK(watch.silent(last + 99ms).empty());
+    CHECK(watch.silent(last + 100ms) == doubted);
+    SECTION("which ends by itself")
+    {
+        watch.on_event(doubted.front(), last + 1s);
+        CHECK(watch.silent(last + 1s + 100ms) == other);
+    }
+}
+
+TEST_CASE("a run without events leaves a pipeline in doubt sooner")
+{
+    pipeline_watch watch{{}};
+    const auto runs = begin(watch, pipeline_a, 1);
+    watch.doubt(engine_of(pipeline_a), start + 50ms);
+    CHECK(watch.silent(start + 249ms).empty());
+    CHECK(watch.silent(start + 250ms) == runs);
+}
