Control: the first layout counts engines that are fetched late

Change: it waits for the fetch interval on top.

The test gives orders too early without the change.

--- a/source/control/layout_controller.cpp
+++ b/source/control/layout_controller.cpp
@@ -152,7 +152,8 @@
         this->engines_seen = fleet.engines.size();
         this->last_new_engine = now;
     }
-    return held || now - this->last_new_engine >= this->options.settle_time;
+    return held || now - this->last_new_engine >=
+                       this->options.settle_time + this->options.fetch_interval;
 }
 
 void layout_controller::forget_settled(
--- a/source/control/layout_controller.hpp
+++ b/source/control/layout_controller.hpp
@@ -19,8 +19,10 @@
 struct layout_controller_options
 {
     /// Engines enter the store one by one as a fleet starts; the first layout
-    /// waits until no new one came for this long.
+    /// waits until no new one came for this long, and for the interval at which
+    /// the instance fetches changes of the fleet on top.
     duration settle_time = std::chrono::milliseconds{600};
+    duration fetch_interval{};
     /// A leader repairs in less; above it up to the spread is waited at random.
     duration leader_patience = std::chrono::milliseconds{500};
     duration leader_spread = std::chrono::seconds{2};
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -62,6 +62,13 @@
     return options;
 }
 
+layout_controller_options placement_options(const service_bounds& bounds)
+{
+    layout_controller_options options;
+    options.fetch_interval = watch_options(bounds).watch_interval;
+    return options;
+}
+
 /// Crashes are rare: long waits keep the calls few.
 store_watcher_options crash_watch_options(const service_bounds& bounds)
 {
@@ -128,7 +135,12 @@
           this->adapter.objects,
           this->time}
     , inquiry{this->board, this->adapter.engines, this->time}
-    , layout{this->board, this->adapter.engines, this->inquiry, this->time}
+    , layout{
+          this->board,
+          this->adapter.engines,
+          this->inquiry,
+          this->time,
+          placement_options(this->settings.bounds)}
     , duty{
           lease_keeper{
               duty_id{"placement"},
--- a/unit_tests/control/layout_controller_test.cpp
+++ b/unit_tests/control/layout_controller_test.cpp
@@ -136,6 +136,31 @@
     CHECK(this->engines.ordered.size() == 3);
 }
 
+TEST_CASE_METHOD(fixture, "the first layout counts engines fetched late")
+{
+    // A large fleet registers while changes are fetched once a second; a
+    // layout of the first half would leave the rest as spares.
+    layout_controller_options options;
+    options.fetch_interval = 1s;
+    layout_controller slow{
+        this->board, this->engines, this->inquiry, this->time, options};
+    const auto always = []
+    {
+        return true;
+    };
+    const leadership led{fencing_number{7}, {}, {}};
+    slow.step(led, always);
+    this->time.advance(700ms);
+    slow.step(led, always);
+    this->time.advance(300ms);
+    this->publish({make("e1"), make("e2"), make("e3"), make("e4")});
+    slow.step(led, always);
+    CHECK(this->engines.ordered.empty());
+    this->time.advance(1600ms);
+    slow.step(led, always);
+    CHECK(this->engines.ordered.size() == 4);
+}
+
 TEST_CASE_METHOD(fixture, "orders carry the fence and the orders before them")
 {
     this->step();
