Routing: pipelines are taken in proportion to the room they have

Cause: after a loss one zone's pipelines filled their KV cache and first events took 0.6 to 1.7 s there, while others answered in 60 ms: the choice knew only the streams of its own instance, one in 90, and shares by speed.

Change: engines tell in the header of a stream how many streams their pipeline runs; with the streams that the fullest stage can hold by its memory, the weight of a pipeline falls with the square of the room left.

--- a/source/blackboard/fleet.hpp
+++ b/source/blackboard/fleet.hpp
@@ -60,6 +60,8 @@
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
     token_count free_kv;
+    /// Mean streams whose KV cache fits beside the layers; zero while unknown.
+    std::uint32_t fitting_streams = 0;
     /// Time of one decoding step of the layers held, at the reported batch.
     duration step_time{};
     /// Time to prefill one token through the layers held.
--- a/source/control/fleet_builder.cpp
+++ b/source/control/fleet_builder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 namespace fireflysail
@@ -17,6 +18,27 @@
 /// pipelines stay within a zone while one there is whole.
 constexpr duration crossing_cost = 50ms;
 
+std::uint32_t fitting_streams(
+    const engine_profile& profile,
+    const accelerator_profile& accelerator,
+    std::uint32_t held)
+{
+    const std::uint64_t weights = held * profile.layer_size.value();
+    const std::uint64_t memory = accelerator.memory.value();
+    const std::uint64_t tokens =
+        std::uint64_t{profile.mean_prompt_tokens} + profile.mean_output_tokens;
+    const std::uint64_t each =
+        profile.layers == 0
+            ? 0
+            : tokens * profile.kv_per_token.value() * held / profile.layers;
+    if (each == 0 || memory <= weights)
+    {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        (memory - weights) / each, std::numeric_limits<std::uint32_t>::max()));
+}
+
 load_report idle_load(
     const server_entry& entry,
     const engine_profile& profile,
@@ -31,6 +53,7 @@
         profile.layers == 0 ? 0 : static_cast<double>(held) / profile.layers;
     load_report load;
     load.slots = entry.slots;
+    load.fitting_streams = fitting_streams(profile, accelerator, held);
     load.step_time = std::chrono::duration_cast<duration>(
         profile.step_time * accelerator.step_factor * part);
     if (profile.prefill_tokens_per_second > 0)
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -196,6 +196,11 @@
         co_return stream_end::broken;
     }
     connection.idle_limit = facts.keep_alive;
+    if (facts.load)
+    {
+        served.relay.pipelines.on_first_stage_load(
+            routed.route, facts.load->running, facts.load->waiting);
+    }
     if (facts.not_run)
     {
         exclude_failed(state, routed, facts);
--- a/source/routing/choice.cpp
+++ b/source/routing/choice.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace fireflysail
 {
@@ -28,6 +29,12 @@
 /// more than this factor of the streams that the others have.
 constexpr double affinity_load_bound = 1.25;
 
+/// A stage whose KV cache is full preempts its streams, so pipelines are taken
+/// in proportion to this power of the room they have left; one that is full
+/// takes little, and still some while the others are full too.
+constexpr double room_steepness = 2;
+constexpr double least_room = 0.05;
+
 using slot_list = absl::InlinedVector<engine_slot, 8>;
 
 slot_list slots_of(const route_table& table, std::span<const server_id> servers)
@@ -55,6 +62,24 @@
     return most;
 }
 
+/// Part of its KV cache that a pipeline has left, by its fullest stage. Only
+/// the first stage tells how many streams it runs; all of them pass the others.
+double room_of(const pipeline& candidate, const load_view& view)
+{
+    double fitting = std::numeric_limits<double>::infinity();
+    double streams = 0;
+    for (const stage& part : candidate.stages)
+    {
+        const engine_load load = view.loads.load(part);
+        streams = std::max(streams, load.streams);
+        if (load.fitting_streams > 0)
+        {
+            fitting = std::min(fitting, load.fitting_streams);
+        }
+    }
+    return std::clamp(1 - streams / fitting, least_room, 1.0);
+}
+
 /// One choice among the candidates of a set.
 class chooser
 {
@@ -185,8 +210,12 @@
         double sum = 0;
         for (option& each : this->options)
         {
-            each.weight = std::pow(
-                std::max(1.0, least) / std::max(1.0, each.cost), steepness);
+            each.weight =
+                std::pow(
+                    std::max(1.0, least) / std::max(1.0, each.cost),
+                    steepness) *
+                std::pow(
+                    room_of(*each.choice.route, this->view), room_steepness);
             sum += each.weight;
         }
         double point = this->uniform() * sum;
--- a/source/routing/load_tracker.cpp
+++ b/source/routing/load_tracker.cpp
@@ -69,6 +69,13 @@
     of.server_key.store(server_key, std::memory_order_release);
 }
 
+void load_tracker::set_fitting(engine_slot slot, std::uint32_t streams)
+{
+    ensure(slot.value() < this->entries.size(), "a slot is within capacity");
+    this->entries[slot.value()].fitting_streams.store(
+        streams, std::memory_order_relaxed);
+}
+
 void load_tracker::compare(const route_set& set)
 {
     double drain_sum = 0;
@@ -162,6 +169,7 @@
     const entry& of = this->entries[slot.value()];
     const double own = std::max(0, of.own.load(std::memory_order_relaxed));
     engine_load load;
+    load.fitting_streams = of.fitting_streams.load(std::memory_order_relaxed);
     if (of.server_key.load(std::memory_order_acquire) != server_key)
     {
         load.streams = own;
--- a/source/routing/load_tracker.hpp
+++ b/source/routing/load_tracker.hpp
@@ -27,6 +27,8 @@
     /// Streams that it had when it reported the times above.
     double reported_streams = 0;
     std::uint64_t free_kv = 0;
+    /// Streams whose KV cache it holds at once; zero while unknown.
+    double fitting_streams = 0;
     /// Part of its time that the engine is busy, by its streams against those
     /// of its siblings.
     double utilization = 0;
@@ -54,6 +56,9 @@
         const load_report& load,
         time_point measured_at);
 
+    /// Streams whose KV cache the engine holds at once, by its layers.
+    void set_fitting(engine_slot slot, std::uint32_t streams);
+
     /// Compares the engines of a set with one another; called by the controller
     /// that stores the reports, after it has done so.
     void compare(const route_set& set);
@@ -82,6 +87,7 @@
         std::atomic<std::uint32_t> waiting{0};
         std::atomic<std::uint32_t> slots{0};
         std::atomic<std::uint64_t> free_kv{0};
+        std::atomic<std::uint32_t> fitting_streams{0};
         std::atomic<duration::rep> step_time{0};
         std::atomic<duration::rep> prefill_time{0};
         std::atomic<duration::rep> measured_at{0};
--- a/source/serving/pipeline_router.cpp
+++ b/source/serving/pipeline_router.cpp
@@ -134,6 +134,7 @@
         const auto slot = routes.slot_of(server.id);
         if (slot && server.load.slots > 0)
         {
+            this->loads.set_fitting(*slot, server.load.fitting_streams);
             this->loads.report(
                 *slot,
                 stable_hash(server.id.str()),
@@ -222,6 +223,23 @@
     this->router.loads.end(this->used);
 }
 
+void pipeline_router::on_first_stage_load(
+    const pipeline& used, std::uint32_t running, std::uint32_t waiting)
+{
+    const stage& first = used.stages.front();
+    const auto now = this->current.load();
+    const auto server =
+        std::ranges::find(now->fleet->engines, first.server, &engine::id);
+    if (server == now->fleet->engines.end())
+    {
+        return;
+    }
+    load_report load = server->load;
+    load.running = running;
+    load.waiting = waiting;
+    this->loads.report(first.slot, first.server_key, load, this->time.now());
+}
+
 void pipeline_router::on_token(const pipeline& used, duration token_time)
 {
     const auto now = this->time.now();
--- a/source/serving/pipeline_router.hpp
+++ b/source/serving/pipeline_router.hpp
@@ -69,6 +69,10 @@
         const pipeline& used;
     };
 
+    /// The first stage tells how many streams it runs and holds back.
+    void on_first_stage_load(
+        const pipeline& used, std::uint32_t running, std::uint32_t waiting);
+
     void on_token(const pipeline& used, duration token_time);
 
     /// The attempt failed; `server` is the stage at fault, or empty when any of
--- a/unit_tests/routing/choice_test.cpp
+++ b/unit_tests/routing/choice_test.cpp
@@ -1,5 +1,6 @@
 #include "routing/choice.hpp"
 
+#include "common/hash.hpp"
 #include "routing/routing_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -22,6 +23,38 @@
     CHECK(routing.uses("head-0", routing.request(), 1000) < 125);
 }
 
+TEST_CASE("a pipeline whose KV cache is nearly full gets little new work")
+{
+    // After a loss the pipelines that are left fill up at different speeds;
+    // only their first stages tell how many streams they run.
+    routing_fixture routing{4};
+    routing.report();
+    for (const pipeline& each : routing.set().candidates)
+    {
+        for (const stage& part : each.stages)
+        {
+            routing.loads.set_fitting(part.slot, 200);
+        }
+    }
+    CHECK(routing.uses("head-0", routing.request(), 1000) > 150);
+    engine& full = routing.at("head-0");
+    full.load.running = 190;
+    routing.loads.report(
+        *routing.table->slot_of(full.id),
+        stable_hash(full.id.str()),
+        full.load,
+        routing.time.now());
+    CHECK(routing.uses("head-0", routing.request(), 1000) < 20);
+    SECTION("and serves while all are full")
+    {
+        const std::vector<server_id> others{
+            server_id{"head-1"}, server_id{"head-2"}, server_id{"head-3"}};
+        route_request wanted = routing.request();
+        wanted.excluded = others;
+        CHECK(routing.uses("head-0", wanted, 100) == 100);
+    }
+}
+
 TEST_CASE("own work since a late report counts")
 {
     routing_fixture routing{1};
