--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -69,6 +69,12 @@
     }
 }
 
+void traffic_controller::note_contact()
+{
+    const absl::MutexLock lock{&this->mutex};
+    this->directory.on_contact(this->time.now());
+}
+
 bool traffic_controller::is_complete() const
 {
     const absl::MutexLock lock{&this->mutex};
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -48,6 +48,9 @@
     /// Consumer of the backend servers' watch.
     store_consumer& servers_consumer();
 
+    /// The store answered, with or without changes. Any thread.
+    void note_contact();
+
     /// Engines that do not answer, whatever the store says of them.
     void set_lost(std::vector<server_id> servers);
 
--- a/source/main/relay_command.cpp
+++ b/source/main/relay_command.cpp
@@ -71,11 +71,14 @@
     node.metrics_port = wanted.metrics_port;
     const boot_clock time;
     platform::object_store objects{node.store, time};
+    platform::object_store lagging_objects{
+        node.store, time, platform::read_consistency::may_lag};
     platform::engine_client engines;
     const platform::header_codec codec;
     relay_process process{
         node,
         {objects,
+         lagging_objects,
          engines,
          codec,
          platform_objects(),
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -52,9 +52,10 @@
 {
     store_watcher_options options;
     options.list_time = 2s;
-    // Bounds how long a connection that went silent can hide a change; each
-    // watch is a call that is paid for.
-    options.watch_time = 3s;
+    // Each watch is a call that is paid for; what one hides whose connection
+    // went silent shows in the watch that may lag.
+    options.watch_time = 15s;
+    options.list_after_failure = true;
     options.watch_interval = bounds.drain / watch_interval_divisor;
     options.relist_spread = 200ms;
     options.retry.first = 100ms;
@@ -62,6 +63,17 @@
     return options;
 }
 
+/// Shows within its time whether the store answers at all. Shorter than the gap
+/// in which entries of servers lapse.
+store_watcher_options bell_options(const service_bounds& bounds)
+{
+    store_watcher_options options = watch_options(bounds);
+    options.watch_time = 2500ms;
+    options.may_lag = true;
+    options.list_after_failure = false;
+    return options;
+}
+
 layout_controller_options placement_options(const service_bounds& bounds)
 {
     layout_controller_options options;
@@ -72,7 +84,7 @@
 /// Crashes are rare: long waits keep the calls few.
 store_watcher_options crash_watch_options(const service_bounds& bounds)
 {
-    store_watcher_options options = watch_options(bounds);
+    store_watcher_options options = bell_options(bounds);
     options.watch_time = 10s;
     return options;
 }
@@ -123,9 +135,30 @@
           this->time,
           watch_options(this->settings.bounds),
           this->random()}
+    , config_bell{
+          this->traffic.config_consumer().kinds(), this->time, [] {}}
+    , servers_bell{
+          this->traffic.servers_consumer().kinds(),
+          this->time,
+          [this]
+          {
+              this->traffic.note_contact();
+          }}
+    , config_bell_watch{
+          this->adapter.lagging_objects,
+          {&this->config_bell},
+          this->time,
+          bell_options(this->settings.bounds),
+          this->random()}
+    , servers_bell_watch{
+          this->adapter.lagging_objects,
+          {&this->servers_bell},
+          this->time,
+          bell_options(this->settings.bounds),
+          this->random()}
     , crashes{this->adapter.objects, this->time}
     , crashes_watch{
-          this->adapter.objects,
+          this->adapter.lagging_objects,
           {&this->crashes},
           this->time,
           crash_watch_options(this->settings.bounds),
@@ -161,6 +194,7 @@
           [this]
           {
               this->note_store();
+              this->check_watches();
               this->traffic.expire();
               this->ask_suspects();
               // A store that does not answer must not hold up repairs.
@@ -233,6 +267,8 @@
     this->wait_for_signal();
     this->config_watch.start();
     this->servers_watch.start();
+    this->config_bell_watch.start();
+    this->servers_bell_watch.start();
     this->crashes_watch.start();
     this->duty.start();
     this->next_reload = this->time.now() + reload_interval;
@@ -276,15 +312,45 @@
         });
 }
 
+watch_hub_status relay_process::store_status() const
+{
+    return this->servers_bell_watch.status();
+}
+
+void relay_process::check_watches()
+{
+    const bool overlooked =
+        this->servers_bell.is_overlooked(
+            this->servers_watch.status().position) ||
+        this->config_bell.is_overlooked(this->config_watch.status().position);
+    if (overlooked)
+    {
+        log::event(
+            log::level::warning,
+            log::channel::store,
+            "watch_overlooked_changes",
+            {{"servers_revision",
+              this->servers_watch.status().position.value()},
+             {"config_revision",
+              this->config_watch.status().position.value()}});
+        this->adapter.objects.interrupt_watches();
+    }
+}
+
 void relay_process::note_store()
 {
-    const auto status = this->servers_watch.status();
+    const auto status = this->store_status();
     const bool lost = status.failing_since.has_value();
     if (lost == this->store_is_lost)
     {
         return;
     }
     this->store_is_lost = lost;
+    if (!lost)
+    {
+        // It may have forgotten the watches in flight.
+        this->adapter.objects.interrupt_watches();
+    }
     log::event(
         lost ? log::level::warning : log::level::info,
         log::channel::store,
@@ -360,7 +426,7 @@
 
 void relay_process::survey_if_blind()
 {
-    const auto failing_since = this->servers_watch.status().failing_since;
+    const auto failing_since = this->store_status().failing_since;
     const time_point now = this->time.now();
     const bool is_due = failing_since && now - *failing_since >= outage_after &&
                         now - this->last_survey >= survey_interval &&
@@ -425,7 +491,7 @@
     add("backend_connections_reused_total", this->pool.counts.reused);
     add("backend_connections_failed_total", this->pool.counts.failed);
     add("backend_connections_spoiled_total", this->pool.counts.spoiled);
-    const auto store = this->servers_watch.status();
+    const auto store = this->store_status();
     add("store_failing_seconds", age_of(store.failing_since));
     add("store_failures_total", store.counts.failures);
     add("store_lists_total", store.counts.lists);
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -9,6 +9,7 @@
 #include "notices/notice_channel.hpp"
 #include "relay/relay_server.hpp"
 #include "settings/node_settings.hpp"
+#include "store/watch_doorbell.hpp"
 #include "store/watch_hub.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -27,6 +28,8 @@
 struct platform_adapter
 {
     store& objects;
+    /// The same store, where answers may lag behind and cost less.
+    store& lagging_objects;
     engine_control& engines;
     const message_codec& codec;
     traffic_objects kinds;
@@ -72,6 +75,12 @@
     /// has no pipeline.
     void survey_if_blind();
 
+    /// Of the watch that looks soonest whether the store answers.
+    watch_hub_status store_status() const;
+
+    /// Starts the long watches anew when they have overlooked changes.
+    void check_watches();
+
     /// Tells in the log when the store is lost and regained.
     void note_store();
 
@@ -86,6 +95,10 @@
     traffic_controller traffic;
     watch_hub config_watch;
     watch_hub servers_watch;
+    watch_doorbell config_bell;
+    watch_doorbell servers_bell;
+    watch_hub config_bell_watch;
+    watch_hub servers_bell_watch;
     crash_registry crashes;
     watch_hub crashes_watch;
     instance_census census;
--- a/source/store/http_channel.cpp
+++ b/source/store/http_channel.cpp
@@ -27,6 +27,9 @@
 /// Time within which the platform accepts a connection if it is there at all.
 constexpr std::chrono::milliseconds connect_time{1000};
 
+/// A call that may be given up looks so often whether it was.
+constexpr std::chrono::milliseconds look_interval{250};
+
 } // namespace
 
 struct http_channel::connection
@@ -36,14 +39,26 @@
     beast::flat_buffer buffer;
 
     /// Runs what was started until its handler ran.
-    void run()
+    void run(const std::function<bool()>& is_given_up)
     {
         this->context.restart();
+        while (is_given_up && !this->context.stopped())
+        {
+            this->context.run_for(look_interval);
+            if (!this->context.stopped() && is_given_up())
+            {
+                this->stream.cancel();
+                break;
+            }
+        }
         this->context.run();
     }
 
     template <class Start>
-    boost::system::error_code wait(duration limit, Start&& start)
+    boost::system::error_code wait(
+        duration limit,
+        Start&& start,
+        const std::function<bool()>& is_given_up = {})
     {
         boost::system::error_code outcome = asio::error::timed_out;
         this->stream.expires_after(limit);
@@ -52,7 +67,7 @@
             {
                 outcome = error;
             });
-        this->run();
+        this->run(is_given_up);
         return outcome;
     }
 };
@@ -64,8 +79,10 @@
 
 http_channel::~http_channel() = default;
 
-result<channel_answer>
-http_channel::call(const channel_request& request, duration limit)
+result<channel_answer> http_channel::call(
+    const channel_request& request,
+    duration limit,
+    const std::function<bool()>& is_given_up)
 {
     const auto deadline = std::chrono::steady_clock::now() + limit;
     const auto left = [deadline]
@@ -138,7 +155,8 @@
                                                     used.buffer,
                                                     *parser,
                                                     std::move(handler));
-                                            });
+                                            },
+                                            is_given_up);
     if (not_read)
     {
         this->current.reset();
--- a/source/store/http_channel.hpp
+++ b/source/store/http_channel.hpp
@@ -4,6 +4,7 @@
 #include "common/clock.hpp"
 #include "common/result.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -40,8 +41,12 @@
     http_channel& operator=(const http_channel&) = delete;
 
     /// Errors: errc::unavailable when nothing was sent, else
-    /// errc::unknown_effect. `limit` bounds the whole call.
-    result<channel_answer> call(const channel_request& request, duration limit);
+    /// errc::unknown_effect. `limit` bounds the whole call; it ends soon after
+    /// `is_given_up` is true while it waits for the answer.
+    result<channel_answer> call(
+        const channel_request& request,
+        duration limit,
+        const std::function<bool()>& is_given_up = {});
 
 private:
     struct connection;
--- a/source/store/store.hpp
+++ b/source/store/store.hpp
@@ -101,6 +101,10 @@
         const std::vector<std::string>& kinds,
         revision from,
         time_point deadline) = 0;
+
+    /// Ends the watches in flight, which fail as unavailable; where that is not
+    /// possible they run on to their deadline. Any thread.
+    virtual void interrupt_watches() {}
 };
 
 } // namespace fireflysail
--- a/source/store/store_watcher.cpp
+++ b/source/store/store_watcher.cpp
@@ -45,6 +45,14 @@
     {
         // Served by a replica that lags behind what was already seen.
         this->counters.stale_lists += 1;
+        if (this->options.may_lag)
+        {
+            this->on_answer(now);
+            this->not_before =
+                now +
+                random_duration(this->options.relist_spread, this->random);
+            return std::nullopt;
+        }
         this->on_failure(now);
         return std::nullopt;
     }
@@ -68,10 +76,16 @@
     }
     if (!got)
     {
+        this->needs_list = this->options.list_after_failure;
         this->on_error(got.error(), now);
         return std::nullopt;
     }
     watch_batch batch = std::move(got).value();
+    if (this->options.may_lag && batch.next < this->reached)
+    {
+        this->on_answer(now);
+        return watch_batch{this->reached, {}};
+    }
     const auto version = [](const store_event& event)
     {
         return event.object.version;
--- a/source/store/store_watcher.hpp
+++ b/source/store/store_watcher.hpp
@@ -26,6 +26,11 @@
     /// Instances that lost the same history list again within this time, each
     /// at a moment of its own.
     duration relist_spread{std::chrono::seconds{2}};
+    /// Answers may be older than what was seen before; that is no failure.
+    bool may_lag = false;
+    /// A watch that failed is followed by a list: a store that lost its history
+    /// may cut a watch and let the next one wait without the changes between.
+    bool list_after_failure = false;
     backoff_options retry;
 };
 
--- /dev/null
+++ b/unit_tests/store/watch_doorbell_test.cpp
@@ -0,0 +1,103 @@
+#include "store/watch_doorbell.hpp"
+
+#include "common/error.hpp"
+#include "store/store_watcher.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr const char* kind = "servers";
+
+store_event change(store_event::change what, std::uint64_t version)
+{
+    return {what, {{kind, "a"}, "value", revision{version}}};
+}
+
+struct fixture
+{
+    manual_clock time;
+    int contacts = 0;
+    watch_doorbell bell{
+        {kind},
+        this->time,
+        [this]
+        {
+            ++this->contacts;
+        }};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(fixture, "a change that the long watch hides is found")
+{
+    this->bell.on_events(
+        {revision{20}, {change(store_event::change::written, 18)}});
+    // The long watch may be about to tell of it.
+    CHECK_FALSE(this->bell.is_overlooked(revision{17}));
+    this->time.advance(600ms);
+    CHECK(this->bell.is_overlooked(revision{17}));
+    CHECK_FALSE(this->bell.is_overlooked(revision{18}));
+}
+
+TEST_CASE_METHOD(fixture, "a removal counts as late as it may be")
+{
+    this->bell.on_events(
+        {revision{20}, {change(store_event::change::removed, 12)}});
+    this->time.advance(600ms);
+    CHECK(this->bell.is_overlooked(revision{19}));
+    CHECK_FALSE(this->bell.is_overlooked(revision{20}));
+}
+
+TEST_CASE_METHOD(fixture, "old news and answers without changes ring no bell")
+{
+    this->bell.on_snapshot({revision{30}, {}});
+    this->bell.on_events({revision{31}, {}});
+    this->time.advance(1min);
+    CHECK_FALSE(this->bell.is_overlooked(revision{10}));
+    CHECK(this->contacts == 2);
+}
+
+namespace
+{
+
+store_watcher listed_at(revision version, const store_watcher_options& options)
+{
+    store_watcher watcher{options, 1};
+    watcher.next({});
+    CHECK(watcher.on_listed(store_snapshot{version, {}}, {}));
+    return watcher;
+}
+
+} // namespace
+
+TEST_CASE("a watch that was cut is followed by a list where that is asked for")
+{
+    store_watcher_options options;
+    options.list_after_failure = true;
+    auto watcher = listed_at(revision{96}, options);
+    CHECK_FALSE(watcher.on_watched(errc::unavailable, time_point{1s}));
+    const auto next = watcher.next(time_point{1min});
+    CHECK(std::holds_alternative<store_watcher::list_now>(next));
+}
+
+TEST_CASE("an answer that lags is no failure where it may lag")
+{
+    store_watcher_options options;
+    options.may_lag = true;
+    auto watcher = listed_at(revision{96}, options);
+    const auto batch =
+        watcher.on_watched(watch_batch{revision{90}, {}}, time_point{1s});
+    REQUIRE(batch);
+    CHECK(batch->next == revision{96});
+    CHECK_FALSE(watcher.failing_since());
+    auto listing = listed_at(revision{96}, options);
+    listing.on_watched(errc::compacted, time_point{1s});
+    CHECK_FALSE(
+        listing.on_listed(store_snapshot{revision{90}, {}}, time_point{2s}));
+    CHECK_FALSE(listing.failing_since());
+}
