Notices: taken from known instances only; a doorbell by the change itself

A datagram counts only when the store lists its sender at that host, so that no other process can keep requests off an engine. A removal rang the doorbell for each later change of another kind, at two calls an instance each time.

--- a/source/control/instance_census.cpp
+++ b/source/control/instance_census.cpp
@@ -125,16 +125,7 @@
         }
         if (is_self && fellow != this->self)
         {
-            // Written by an earlier life at another address.
-            const auto corrected = this->objects.update(
-                object.key,
-                encode_address(this->self.address),
-                object.version,
-                now + short_call_time);
-            if (!corrected)
-            {
-                report_failure("correct", corrected.error());
-            }
+            this->correct_self(object, now);
         }
     }
     this->others.publish(std::move(found));
@@ -150,6 +141,30 @@
     this->next_count = now + count_interval;
 }
 
+void instance_census::correct_self(const stored_object& written, time_point now)
+{
+    const auto corrected = this->objects.update(
+        written.key,
+        encode_address(this->self.address),
+        written.version,
+        now + short_call_time);
+    if (!corrected)
+    {
+        report_failure("correct", corrected.error());
+    }
+}
+
+bool instance_census::has(const instance_id& id, std::string_view host) const
+{
+    const auto known = this->others.load();
+    return std::ranges::any_of(
+        *known,
+        [&](const fellow_instance& one)
+        {
+            return one.id == id && one.address.host == host;
+        });
+}
+
 std::size_t instance_census::count() const
 {
     return this->counted.load();
--- a/source/control/instance_census.hpp
+++ b/source/control/instance_census.hpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <cstddef>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace fireflysail
@@ -26,7 +27,7 @@
 /// Counts the instances that serve, by an object that each writes once. Objects
 /// of instances that are gone stay, so the count errs upwards: for what is
 /// divided among the instances that is the safe side. Used by one thread;
-/// `count` and `fellows` by any.
+/// `count`, `fellows` and `has` by any.
 class instance_census
 {
 public:
@@ -44,8 +45,13 @@
     /// The others that were counted; some may be gone.
     std::shared_ptr<const std::vector<fellow_instance>> fellows() const;
 
+    /// Whether one of them is the instance, at the host.
+    bool has(const instance_id& id, std::string_view host) const;
+
 private:
     void register_self(time_point now);
+    /// Replaces what an earlier life at another address wrote.
+    void correct_self(const stored_object& written, time_point now);
     void count_all(time_point now);
 
     const fellow_instance self;
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -208,15 +208,19 @@
           }}
     , notices{
           this->io.get_executor(),
-          [this](const notice& told)
-          {
-              this->inquiry.hear(told.from, told.server, told.news);
-              this->doubt(told.server, told.news);
-              if (this->duty.leads())
-              {
-                  this->duty.wake();
-              }
-          }}
+          {[this](const instance_id& from, const std::string& host)
+           {
+               return this->census.has(from, host);
+           },
+           [this](const notice& told)
+           {
+               this->inquiry.hear(told.from, told.server, told.news);
+               this->doubt(told.server, told.news);
+               if (this->duty.leads())
+               {
+                   this->duty.wake();
+               }
+           }}}
     , pool{this->io.get_executor(), this->time}
     , stalls{this->io.get_executor(), this->time}
     , relay{
@@ -487,6 +491,7 @@
     add("notices_unsent_total", this->notices.counts.unsent);
     add("notices_received_total", this->notices.counts.received);
     add("notices_malformed_total", this->notices.counts.malformed);
+    add("notices_unknown_sender_total", this->notices.counts.unknown_sender);
     add("backend_connections_opened_total", this->pool.counts.opened);
     add("backend_connections_reused_total", this->pool.counts.reused);
     add("backend_connections_failed_total", this->pool.counts.failed);
--- a/source/notices/notice_channel.cpp
+++ b/source/notices/notice_channel.cpp
@@ -26,9 +26,9 @@
 } // namespace
 
 notice_channel::notice_channel(
-    asio::any_io_executor executor, std::function<void(const notice&)> receiver)
-    : socket{std::move(executor)}
-    , receiver{std::move(receiver)}
+    const asio::any_io_executor& executor, listeners heard_by)
+    : socket{executor}
+    , heard_by{std::move(heard_by)}
 {
 }
 
@@ -36,24 +36,13 @@
 {
     boost::system::error_code error;
     const udp::endpoint own = to_udp(address, error);
-    if (!error)
+    udp::socket fresh{this->socket.get_executor()};
+    if (error || fresh.open(own.protocol(), error) || fresh.bind(own, error) ||
+        fresh.non_blocking(true, error))
     {
-        this->socket.open(own.protocol(), error);
-    }
-    if (!error)
-    {
-        this->socket.bind(own, error);
-    }
-    if (!error)
-    {
-        this->socket.non_blocking(true, error);
-    }
-    if (error)
-    {
-        boost::system::error_code ignored;
-        this->socket.close(ignored);
         return error;
     }
+    this->socket = std::move(fresh);
     this->receive();
     return {};
 }
@@ -99,15 +88,28 @@
             // An error tells of a datagram sent before, to a closed port.
             if (!error)
             {
-                const auto told = decode_notice({this->buffer.data(), length});
-                ++(told ? this->counts.received : this->counts.malformed);
-                if (told)
-                {
-                    this->receiver(*told);
-                }
+                this->take({this->buffer.data(), length});
             }
             this->receive();
         });
 }
 
+void notice_channel::take(std::string_view datagram)
+{
+    const auto told = decode_notice(datagram);
+    if (!told)
+    {
+        ++this->counts.malformed;
+        return;
+    }
+    if (!this->heard_by.is_known(
+            told->from, this->sender.address().to_string()))
+    {
+        ++this->counts.unknown_sender;
+        return;
+    }
+    ++this->counts.received;
+    this->heard_by.receive(*told);
+}
+
 } // namespace fireflysail
--- a/source/notices/notice_channel.hpp
+++ b/source/notices/notice_channel.hpp
@@ -10,14 +10,16 @@
 #include <cstdint>
 #include <functional>
 #include <span>
+#include <string>
+#include <string_view>
 #include <system_error>
 
 namespace fireflysail
 {
 
 /// Carries notices among instances as datagrams, one each. Sends never wait:
-/// what the socket does not take at once is lost. Used on the executor's
-/// thread.
+/// what the socket does not take at once is lost. Notices are taken only from
+/// senders that the receiver knows. Used on the executor's thread.
 class notice_channel
 {
 public:
@@ -28,11 +30,20 @@
         std::uint64_t received = 0;
         /// Not a notice.
         std::uint64_t malformed = 0;
+        /// From an address that is not the one of the instance it names.
+        std::uint64_t unknown_sender = 0;
+    };
+
+    struct listeners
+    {
+        /// Whether the instance has an address at the host.
+        std::function<bool(const instance_id&, const std::string& host)>
+            is_known;
+        std::function<void(const notice&)> receive;
     };
 
     notice_channel(
-        boost::asio::any_io_executor executor,
-        std::function<void(const notice&)> receiver);
+        const boost::asio::any_io_executor& executor, listeners heard_by);
 
     notice_channel(const notice_channel&) = delete;
     notice_channel& operator=(const notice_channel&) = delete;
@@ -52,9 +63,10 @@
     static constexpr std::size_t largest_notice = 1024;
 
     void receive();
+    void take(std::string_view datagram);
 
     boost::asio::ip::udp::socket socket;
-    const std::function<void(const notice&)> receiver;
+    const listeners heard_by;
     boost::asio::ip::udp::endpoint sender;
     std::array<char, largest_notice> buffer{};
 };
--- a/source/store/watch_doorbell.cpp
+++ b/source/store/watch_doorbell.cpp
@@ -1,6 +1,5 @@
 #include "store/watch_doorbell.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace fireflysail
@@ -15,21 +14,6 @@
 /// start, so that it gets its interval on top before it counts as silent.
 constexpr duration patience = 600ms;
 
-/// The last change in the batch. The revision of a removal is not told, but it
-/// is no later than the batch.
-revision newest_in(const watch_batch& batch)
-{
-    revision newest;
-    for (const store_event& event : batch.events)
-    {
-        newest = std::max(
-            newest,
-            event.what == store_event::change::removed ? batch.next
-                                                       : event.object.version);
-    }
-    return newest;
-}
-
 } // namespace
 
 watch_doorbell::watch_doorbell(
@@ -55,11 +39,16 @@
 void watch_doorbell::on_events(const watch_batch& batch)
 {
     this->on_contact();
-    const revision newest = newest_in(batch);
+    if (batch.events.empty())
+    {
+        return;
+    }
+    // Not the batch's own revision, which counts changes of other kinds.
+    const revision last = batch.events.back().object.version;
     const absl::MutexLock lock{&this->mutex};
-    if (newest > this->newest)
+    if (last > this->newest)
     {
-        this->newest = newest;
+        this->newest = last;
         this->rung_at = this->time.now();
     }
 }
--- a/unit_tests/control/instance_census_test.cpp
+++ b/unit_tests/control/instance_census_test.cpp
@@ -42,6 +42,9 @@
     time.advance(3s);
     first.step();
     CHECK(*first.fellows() == std::vector{b});
+    CHECK(first.has(b.id, b.address.host));
+    CHECK_FALSE(first.has(b.id, moved.address.host));
+    CHECK_FALSE(first.has(a.id, a.address.host));
     // Comes back at another address, which the others learn in time.
     instance_census again{moved, objects, time};
     again.step();
