Routing: a repair takes the two neighbours before it moves others

Cause: repairs that kept 70 % of an engine split up to half of a zone anew, and an engine that gives up layers takes no new streams and holds up those on it.

Change: neighbours take a hole up to 85 % first, as before; the split itself still keeps the fullest stage emptiest.

--- a/source/control/fleet_builder.cpp
+++ b/source/control/fleet_builder.cpp
@@ -18,6 +18,7 @@
 /// pipelines stay within a zone while one there is whole.
 constexpr duration crossing_cost = 50ms;
 
+/// Zero while unknown; an engine without room is taken to hold one.
 std::uint32_t fitting_streams(
     const engine_profile& profile,
     const accelerator_profile& accelerator,
@@ -31,12 +32,13 @@
         profile.layers == 0
             ? 0
             : tokens * profile.kv_per_token.value() * held / profile.layers;
-    if (each == 0 || memory <= weights)
+    if (each == 0)
     {
         return 0;
     }
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(
-        (memory - weights) / each, std::numeric_limits<std::uint32_t>::max()));
+    const std::uint64_t free = memory > weights ? memory - weights : 0;
+    return static_cast<std::uint32_t>(std::clamp<std::uint64_t>(
+        free / each, 1, std::numeric_limits<std::uint32_t>::max()));
 }
 
 load_report idle_load(
--- a/source/routing/layer_layout.cpp
+++ b/source/routing/layer_layout.cpp
@@ -145,16 +145,16 @@
         }
     }
 
-    static std::uint32_t limit(const layout_engine& member, double fill)
+    std::uint32_t limit(const layout_engine& member) const
     {
         return static_cast<std::uint32_t>(
-            std::floor(member.most_layers * fill));
+            std::floor(member.most_layers * this->options.repair_fill));
     }
 
-    static std::uint32_t spare(const layout_engine& member, double fill)
+    std::uint32_t spare(const layout_engine& member) const
     {
         const std::uint32_t held = member.held ? member.held->size() : 0;
-        const std::uint32_t most = limit(member, fill);
+        const std::uint32_t most = this->limit(member);
         return most > held ? most - held : 0;
     }
 
@@ -239,25 +239,13 @@
 
     bool fill(layer_range hole)
     {
-        return this->fill_with_empty(hole) ||
-               this->fill_with_neighbours(hole, this->options.repair_fill) ||
-               this->split_around(
-                   hole, this->options.repair_fill, this->members.size() / 2) ||
-               this->fill_with_neighbours(
-                   hole, this->options.tight_repair_fill) ||
-               this->split_around(
-                   hole,
-                   this->options.tight_repair_fill,
-                   this->members.size()) ||
+        return this->fill_cheaply(hole) || this->split_around(hole) ||
                this->split_anew();
     }
 
     bool fill_cheaply(layer_range hole)
     {
-        return this->fill_with_empty(hole) ||
-               this->fill_with_neighbours(hole, this->options.repair_fill) ||
-               this->fill_with_neighbours(
-                   hole, this->options.tight_repair_fill);
+        return this->fill_with_empty(hole) || this->fill_with_neighbours(hole);
     }
 
     bool fill_with_empty(layer_range hole)
@@ -266,9 +254,7 @@
             this->members,
             [this, hole](const layout_engine& member)
             {
-                return !member.held &&
-                       limit(member, this->options.tight_repair_fill) >=
-                           hole.size();
+                return !member.held && this->limit(member) >= hole.size();
             });
         if (found == this->members.end())
         {
@@ -282,13 +268,13 @@
     /// One that reaches over the hole belongs to another copy, and would lose
     /// layers to it.
     template <class Touches>
-    layout_engine* neighbour(double fill, Touches&& touches)
+    layout_engine* neighbour(Touches&& touches)
     {
         layout_engine* best = nullptr;
         for (layout_engine& member : this->members)
         {
             const bool better =
-                best == nullptr || spare(member, fill) > spare(*best, fill);
+                best == nullptr || this->spare(member) > this->spare(*best);
             if (member.held && touches(*member.held) && better)
             {
                 best = &member;
@@ -297,24 +283,22 @@
         return best;
     }
 
-    bool fill_with_neighbours(layer_range hole, double fill)
+    bool fill_with_neighbours(layer_range hole)
     {
         layout_engine* before = this->neighbour(
-            fill,
             [hole](const layer_range& range)
             {
                 return range.last == hole.first;
             });
         layout_engine* after = this->neighbour(
-            fill,
             [hole](const layer_range& range)
             {
                 return range.first == hole.last;
             });
         const std::uint32_t room_before =
-            before == nullptr ? 0 : spare(*before, fill);
+            before == nullptr ? 0 : this->spare(*before);
         const std::uint32_t room_after =
-            after == nullptr ? 0 : spare(*after, fill);
+            after == nullptr ? 0 : this->spare(*after);
         if (room_before + room_after < hole.size())
         {
             return false;
@@ -339,8 +323,7 @@
     }
 
     /// Splits the smallest run of engines around the hole that has the room.
-    /// They serve little meanwhile, so it may not have more than `most`.
-    bool split_around(layer_range hole, double fill, std::size_t most)
+    bool split_around(layer_range hole)
     {
         const group placed = this->in_order();
         const auto middle = std::ranges::find_if(
@@ -358,18 +341,14 @@
                 (to == placed.end() || middle - from <= to - middle);
             left_next ? --from : ++to;
             const group window(from, to);
-            if (window.size() > most)
-            {
-                return false;
-            }
             const auto span = this->span_of(window, hole);
             const auto room = std::accumulate(
                 window.begin(),
                 window.end(),
                 std::uint32_t{0},
-                [fill](std::uint32_t sum, const layout_engine* member)
+                [this](std::uint32_t sum, const layout_engine* member)
                 {
-                    return sum + limit(*member, fill);
+                    return sum + this->limit(*member);
                 });
             if (room >= span.size())
             {
@@ -452,9 +431,8 @@
                 return;
             }
             const auto first = fullest->held->first.value();
-            const auto size = std::min(
-                fullest->held->size(),
-                limit(empty, this->options.tight_repair_fill));
+            const auto size =
+                std::min(fullest->held->size(), this->limit(empty));
             this->place(empty, make_range(first, first + size));
         }
     }
--- a/source/routing/layer_layout.hpp
+++ b/source/routing/layer_layout.hpp
@@ -24,10 +24,8 @@
 struct layout_options
 {
     /// Part of its layers' worth of memory that an engine may fill when it
-    /// takes over lost layers; the rest stays for KV cache. The fuller one is
-    /// used where the first leaves a hole.
-    double repair_fill = 0.7;
-    double tight_repair_fill = 0.85;
+    /// takes over lost layers; the rest stays for KV cache.
+    double repair_fill = 0.85;
     /// Part of a zone's memory that copies of the model may fill; a zone holds
     /// as many as fit, and at least one.
     double copies_fill = 0.8;
--- /dev/null
+++ b/unit_tests/control/fleet_builder_test.cpp
@@ -0,0 +1,61 @@
+#include "control/fleet_builder.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fireflysail;
+
+namespace
+{
+
+const service_id model{"model"};
+
+/// Ten layers of 100 bytes; a token keeps 10 bytes, one a layer.
+traffic_config make_config()
+{
+    engine_profile profile;
+    profile.layers = 10;
+    profile.layer_size = byte_count{100};
+    profile.kv_per_token = byte_count{10};
+    profile.mean_prompt_tokens = 15;
+    profile.mean_output_tokens = 5;
+    accelerator_profile accelerator;
+    accelerator.kind = accelerator_kind{"small"};
+    accelerator.memory = byte_count{1000};
+    profile.accelerators.push_back(accelerator);
+    service_profile service;
+    service.id = model;
+    service.engines = profile;
+    traffic_config config;
+    config.services.emplace(model, service);
+    return config;
+}
+
+std::uint32_t fitting_with(std::uint32_t layers)
+{
+    server_entry entry;
+    entry.id = server_id{"e"};
+    entry.service = model;
+    entry.kind = accelerator_kind{"small"};
+    if (layers > 0)
+    {
+        entry.layers.push_back(
+            {{layer_index{0}, layer_index{layers}}, model_version{"1"}});
+    }
+    const auto fleet = build_fleet({entry}, make_config(), revision{1});
+    REQUIRE(fleet.engines.size() == 1);
+    return fleet.engines.front().load.fitting_streams;
+}
+
+} // namespace
+
+TEST_CASE("the streams that fit fall with the layers an engine holds")
+{
+    // 600 bytes are left, a stream of 20 tokens takes 80 on four layers.
+    CHECK(fitting_with(4) == 7);
+    CHECK(fitting_with(8) == 1);
+    CHECK(fitting_with(10) == 1);
+    SECTION("and are unknown without layers")
+    {
+        CHECK(fitting_with(0) == 0);
+    }
+}
