--- a/scripts/local_fleet.py
+++ b/scripts/local_fleet.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,6 +16,10 @@
 HOST = "127.0.0.1"
 MODEL = "dress-advisor"
 LAYERS = 32
+# Below the range that Linux gives to outgoing connections.
+FIRST_PORT = 20000
+LAST_PORT = 32000
+PORTS = random.SystemRandom()
 READY_LIMIT_S = 30
 ADMIN_CREDENTIAL = "operators-secret-of-the-demo"
 PEER_KEY = "key-that-the-instances-share"
@@ -25,11 +30,17 @@
 
 
 def free_ports(count):
-    """Ports that are free now; all are held until the last is found."""
+    """Ports that are free now; all are held until the last is found. None of
+    those that the system gives to outgoing connections, of which one may take
+    a port between this and the start of the program that listens there."""
     held = []
-    for _ in range(count):
+    while len(held) < count:
         probe = socket.socket()
-        probe.bind((HOST, 0))
+        try:
+            probe.bind((HOST, PORTS.randint(FIRST_PORT, LAST_PORT)))
+        except OSError:
+            probe.close()
+            continue
         held.append(probe)
     ports = [probe.getsockname()[1] for probe in held]
     for probe in held:
