Relay: a run that broke tells whether it had begun and the parts of its prompt

The log could not tell which requests crash engines: what crashed runs have in common was not logged, and last_event is also that of an earlier attempt.

--- a/source/common/identifiers.hpp
+++ b/source/common/identifiers.hpp
@@ -29,6 +29,10 @@
 /// Hash of the content of a request; equal for a resend of the same request.
 using fingerprint = strong_number<struct fingerprint_tag>;
 
+/// Hash of the identifier of one part of a prompt; equal in all requests that
+/// share the part.
+using prompt_part = strong_number<struct prompt_part_tag>;
+
 /// Version of one object in the platform's store, or of a whole snapshot.
 /// Zero means "no object".
 using revision = strong_number<struct revision_tag>;
--- a/source/relay/message_codec.hpp
+++ b/source/relay/message_codec.hpp
@@ -7,8 +7,10 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +20,9 @@
 
 using http_fields = boost::beast::http::fields;
 
+/// Parts of a prompt beyond these are not told apart.
+inline constexpr std::size_t max_shared_parts = 16;
+
 /// What the header of a caller's request says, beside its method and target.
 struct request_facts
 {
@@ -33,10 +38,16 @@
     /// Hash of the part of the prompt that other prompts share; 0: none.
     std::uint64_t shared_prefix = 0;
     std::uint32_t shared_prefix_tokens = 0;
+    /// The parts of the prompt that other prompts may share, in order; as many
+    /// as max_shared_parts.
+    std::vector<prompt_part> shared_parts;
     /// Last event that the caller has of a stream that broke.
     std::optional<std::uint64_t> last_event;
 };
 
+/// For the log: the parts in hexadecimal, separated by commas.
+std::string name_of(std::span<const prompt_part> parts);
+
 /// What is said to a backend server beside the caller's own request.
 struct dispatch_facts
 {
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -113,6 +113,7 @@
     exchange& served = state.served;
     if (is_progress)
     {
+        state.has_begun = true;
         state.fruitless = 0;
         state.run->on_event();
         state.first_event->clear();
@@ -268,6 +269,9 @@
         {{"request", served.facts.attempt.str()},
          {"server", first.str()},
          {"silent", state.silenced},
+         {"answered", state.answered},
+         {"begun", state.has_begun},
+         {"parts", name_of(state.served.facts.shared_parts)},
          {"last_event", state.last_event.value_or(0)},
          {"status", served.last_status},
          {"attempt", served.attempts}});
@@ -381,6 +385,7 @@
     state.silenced = false;
     state.is_moved = false;
     state.answered = false;
+    state.has_begun = false;
     stall_monitor::run run{
         relay.stalls,
         routed.route.key,
--- a/source/relay/stream_run.hpp
+++ b/source/relay/stream_run.hpp
@@ -56,6 +56,8 @@
     io_deadline* first_event = nullptr;
     /// The header of the current run's answer arrived.
     bool answered = false;
+    /// The current run brought an event.
+    bool has_begun = false;
     /// Its last run ended with the crash of its engine.
     bool suspected = false;
 };
--- a/unit_tests/platform/header_codec_test.cpp
+++ b/unit_tests/platform/header_codec_test.cpp
@@ -37,10 +37,39 @@
     CHECK(facts.expected_output_tokens == 60U);
     CHECK(facts.shared_prefix != 0);
     CHECK(facts.shared_prefix_tokens == 1210);
+    CHECK(facts.shared_parts.size() == 2);
     CHECK(facts.last_event == 12U);
     CHECK(facts.key == "secret");
 }
 
+TEST_CASE("a part of a prompt is the same wherever it stands")
+{
+    http_fields first;
+    first.set("X-Fireflysail-Prompt-Prefix", "5c1e:800,91bd:410,e440:250");
+    http_fields second;
+    second.set("X-Fireflysail-Prompt-Prefix", "77aa:40, 91BD:410,e441:9");
+    const auto one = codec.read_request(first).shared_parts;
+    const auto two = codec.read_request(second).shared_parts;
+    REQUIRE(one.size() == 2);
+    REQUIRE(two.size() == 2);
+    CHECK(one[0] != two[0]);
+    CHECK(one[1] == two[1]);
+}
+
+TEST_CASE("a prompt of endless parts is read as a bounded number")
+{
+    std::string parts;
+    for (int part = 0; part < 500; ++part)
+    {
+        parts += std::to_string(part) + ":1,";
+    }
+    http_fields header;
+    header.set("X-Fireflysail-Prompt-Prefix", parts + "last:1");
+    const auto facts = codec.read_request(header);
+    CHECK(facts.shared_parts.size() == max_shared_parts);
+    CHECK(facts.shared_prefix_tokens == 500);
+}
+
 TEST_CASE("missing and broken fields of a request are absent facts")
 {
     http_fields header;
