Relay: tests of prompts that crash engines, failing

Engines crash after the header of their answer where a prompt holds one part. 9 engines crashed of 9 (at most five may), the request itself crashed its way through the fleet, and a bystander was answered 502 and refused after that.

--- a/unit_tests/relay/scripted_server.cpp
+++ b/unit_tests/relay/scripted_server.cpp
@@ -104,6 +104,12 @@
 scripted_server::send_slowly(tcp::socket& socket, const scripted_answer& answer)
 {
     asio::steady_timer timer{this->io};
+    if (answer.crashes)
+    {
+        co_await pause_for(timer, answer.pause);
+        this->stop();
+        co_return false;
+    }
     for (const std::string& piece : answer.pieces)
     {
         co_await pause_for(timer, answer.pause);
--- a/unit_tests/relay/scripted_server.hpp
+++ b/unit_tests/relay/scripted_server.hpp
@@ -26,8 +26,10 @@
     std::vector<std::string> pieces = {};
     /// Sent again and again after that, until the connection ends.
     std::string endless = {};
-    /// Pause before each piece.
+    /// Pause before each piece, and before the crash.
     duration pause{};
+    /// The server ends with all its connections after the bytes.
+    bool crashes = false;
 };
 
 /// A backend server on loopback that answers by a script, in the io_context of
