Relay: tests of streams without length or chunks

They end with their connection; one that ends inside an event is resumed, or ends broken where it may not be. All pass on the code as it is.

--- a/unit_tests/relay/stream_exchange_test.cpp
+++ b/unit_tests/relay/stream_exchange_test.cpp
@@ -21,6 +21,18 @@
     return text;
 }
 
+/// Events with neither length nor chunks; the connection ends after them.
+scripted_answer unframed_events(int first, int last)
+{
+    scripted_answer answer = events(first, last, true);
+    answer.bytes = "HTTP/1.1 200 OK\r\nX-Fireflysail-Attempt-Id: ID\r\n"
+                   "X-Fireflysail-Server-Stamp: stamp\r\n"
+                   "Content-Type: text/event-stream\r\n\r\n" +
+                   event_text(first, last);
+    answer.closes = true;
+    return answer;
+}
+
 /// Breaks off after the third event, and goes on where it is asked to.
 scripted_answer break_once(numbered number, const http_request& request)
 {
@@ -65,6 +77,64 @@
     CHECK(answers[0].body == event_text(1, 6));
 }
 
+TEST_CASE_METHOD(
+    relay_fixture, "a stream without length or chunks ends with its connection")
+{
+    this->add_engine(
+        "e1",
+        [](numbered, const http_request&)
+        {
+            return unframed_events(1, 6);
+        });
+    const auto answers = this->ask({get("/stream/"), get("/stream/")});
+    REQUIRE(answers.size() == 2);
+    CHECK(answers[0].whole);
+    CHECK(answers[0].body == event_text(1, 6));
+    CHECK(answers[1].body == event_text(1, 6));
+}
+
+TEST_CASE_METHOD(
+    relay_fixture,
+    "a stream without length or chunks that ends inside an event goes on "
+    "elsewhere")
+{
+    const auto break_inside = [](numbered, const http_request& request)
+    {
+        if (request.count("Last-Event-Id") == 0)
+        {
+            scripted_answer answer = unframed_events(1, 3);
+            answer.bytes += "id: 4\nda";
+            return answer;
+        }
+        return unframed_events(4, 6);
+    };
+    this->add_engine("e1", break_inside);
+    this->add_engine("e2", break_inside);
+    const auto answers = this->ask({get("/stream/")});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].whole);
+    CHECK(answers[0].body == event_text(1, 6));
+}
+
+TEST_CASE_METHOD(
+    relay_fixture,
+    "a stream without length or chunks that may not be resumed ends broken")
+{
+    this->config->routes["shop.example"][2].resumable = false;
+    this->add_engine(
+        "e1",
+        [](numbered, const http_request&)
+        {
+            scripted_answer answer = unframed_events(1, 3);
+            answer.bytes += "id: 4\nda";
+            return answer;
+        });
+    const auto answers = this->ask({get("/stream/")});
+    REQUIRE(answers.size() == 1);
+    CHECK_FALSE(answers[0].whole);
+    CHECK(answers[0].body == event_text(1, 3));
+}
+
 TEST_CASE_METHOD(relay_fixture, "a caller resumes after the event that it has")
 {
     auto& engine = this->add_engine("e1", break_once);
