Relay: limits of requests that servers name are read and logged

Engines in need name the requests a second that they take from all instances. Nothing keeps to it yet.

--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -1,5 +1,7 @@
 #include "relay/exchange.hpp"
 
+#include "common/log.hpp"
+
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
 
@@ -264,6 +266,21 @@
     }
 }
 
+void note_limit(
+    exchange& served, const server_id& server, const answer_facts& facts)
+{
+    if (facts.rate_limit)
+    {
+        log::event(
+            log::level::info,
+            log::channel::routing,
+            "server_limit_named",
+            {{"request", served.facts.attempt.str()},
+             {"server", server.str()},
+             {"requests_per_second", *facts.rate_limit}});
+    }
+}
+
 asio::awaitable<bool> is_crashed(exchange& served, const endpoint& address)
 {
     backend_connection probe{served.relay.executor, address};
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -120,6 +120,10 @@
 /// could be made: nothing was sent.
 asio::awaitable<bool> ensure_open(exchange& served, backend_pool::taken& taken);
 
+/// Takes in the limit of requests that the server's answer names.
+void note_limit(
+    exchange& served, const server_id& server, const answer_facts& facts);
+
 /// After a run that broke: whether the server is gone, as told by a new
 /// connection.
 asio::awaitable<bool> is_crashed(exchange& served, const endpoint& address);
--- a/source/relay/message_codec.hpp
+++ b/source/relay/message_codec.hpp
@@ -83,6 +83,8 @@
     /// The engine that a refusal blames.
     std::optional<endpoint> failed_server;
     std::optional<reported_load> load;
+    /// Requests a second that the server takes from all instances together.
+    std::optional<double> rate_limit;
     /// How long the server keeps the connection idle.
     std::optional<duration> keep_alive;
 };
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -95,6 +95,10 @@
     const time_point now = relay.time.now();
     taken.connection->last_heard = now;
     taken.connection->idle_limit = result.facts.keep_alive;
+    if (result.has_header)
+    {
+        note_limit(served, server.id, result.facts);
+    }
     if (result.facts.load)
     {
         relay.servers.on_load(
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -225,6 +225,7 @@
         co_return stream_end::broken;
     }
     connection.idle_limit = facts.keep_alive;
+    note_limit(served, routed.stages.front().server, facts);
     if (facts.load)
     {
         served.relay.pipelines.on_first_stage_load(
--- a/unit_tests/platform/header_codec_test.cpp
+++ b/unit_tests/platform/header_codec_test.cpp
@@ -156,3 +156,20 @@
     codec.write_own_answer(plain, {}, std::nullopt);
     CHECK(plain.begin() == plain.end());
 }
+
+TEST_CASE("a server's limit of requests is read, and nothing else is")
+{
+    const auto limit_of = [](const char* text)
+    {
+        http_fields header;
+        header.set("Server-Limit", text);
+        return codec.read_answer(200, header).rate_limit;
+    };
+    CHECK(limit_of("10.2") == 10.2);
+    CHECK(limit_of("0") == 0.0);
+    CHECK_FALSE(limit_of("-1"));
+    CHECK_FALSE(limit_of("soon"));
+    CHECK_FALSE(limit_of("inf"));
+    CHECK_FALSE(limit_of("nan"));
+    CHECK_FALSE(codec.read_answer(200, {}).rate_limit);
+}
