Relay: an answer to an earlier request is read past, and the own one after it

What callers saw: a request on a connection that still brought a late second copy of an earlier answer was sent to the next server; where that one had a copy under way as well it ended as of unknown outcome (502), and one that may not be repeated did at once.

Cause: any answer with another request's id ended the attempt, although the own answer follows it on the same connection. An answer that ends is now read past, as many as the connection has carried requests before; the connection is not kept.

--- a/source/relay/backend_connection.cpp
+++ b/source/relay/backend_connection.cpp
@@ -68,10 +68,9 @@
 void backend_connection::start_request(
     const std::shared_ptr<const http_request>& request)
 {
-    this->parser.emplace();
-    this->parser->body_limit(boost::none);
-    this->parser->header_limit(most_header_bytes);
-    this->parser->skip(request->method() == http::verb::head);
+    ++this->requests;
+    this->is_head = request->method() == http::verb::head;
+    this->reset_parser();
     this->written = std::make_shared<bool>(false);
     http::async_write(
         *this->socket,
@@ -83,6 +82,20 @@
         });
 }
 
+void backend_connection::reset_parser()
+{
+    this->parser.emplace();
+    this->parser->body_limit(boost::none);
+    this->parser->header_limit(most_header_bytes);
+    this->parser->skip(this->is_head);
+}
+
+void backend_connection::expect_next_answer()
+{
+    ++this->foreign_answers;
+    this->reset_parser();
+}
+
 asio::awaitable<io_error> backend_connection::read_header()
 {
     const auto [error, bytes] = co_await http::async_read_header(
@@ -129,11 +142,21 @@
 
 bool backend_connection::may_be_kept() const
 {
-    return !this->broken && this->parser && this->parser->is_done() &&
-           this->parser->keep_alive() && *this->written &&
+    return this->is_whole() && this->foreign_answers == 0 && *this->written &&
            this->buffer.size() == 0;
 }
 
+bool backend_connection::may_expect_next_answer() const
+{
+    return this->is_whole() && this->foreign_answers + 1 < this->requests;
+}
+
+bool backend_connection::is_whole() const
+{
+    return !this->broken && this->parser && this->parser->is_done() &&
+           this->parser->keep_alive();
+}
+
 bool backend_connection::is_spoiled()
 {
     return !this->socket->is_open() || has_pending_input(*this->socket);
--- a/source/relay/backend_connection.hpp
+++ b/source/relay/backend_connection.hpp
@@ -30,6 +30,10 @@
 
     asio::awaitable<io_error> read_header();
 
+    /// After an answer that belongs to an earlier request: expects the next one
+    /// on the connection, which is not kept after that.
+    void expect_next_answer();
+
     /// Valid after read_header().
     const http::response_header<>& header() const;
 
@@ -52,6 +56,10 @@
     /// sides let the connection live on.
     bool may_be_kept() const;
 
+    /// True when the last answer may be one to an earlier request on this
+    /// connection, and that to the request in progress may follow it.
+    bool may_expect_next_answer() const;
+
     /// True when an idle connection was closed or got unasked bytes.
     bool is_spoiled();
 
@@ -61,6 +69,10 @@
 private:
     using parser_type = http::response_parser<http::buffer_body>;
 
+    void reset_parser();
+    /// The last answer was whole, and the connection lives on.
+    bool is_whole() const;
+
     const endpoint where;
     /// Kept by a write that goes on when this object is gone.
     std::shared_ptr<tcp::socket> socket;
@@ -69,6 +81,12 @@
     /// Shared with the write in progress.
     std::shared_ptr<bool> written;
     bool broken = false;
+    /// The request in progress has no answer with a body.
+    bool is_head = false;
+    /// Including the one in progress.
+    std::size_t requests = 0;
+    /// Answers to earlier requests that came late.
+    std::size_t foreign_answers = 0;
 };
 
 } // namespace fireflysail
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -259,6 +259,23 @@
     }
 }
 
+bool is_foreign(const exchange& served, const answer_facts& facts)
+{
+    return !facts.attempt.empty() && facts.attempt != served.facts.attempt;
+}
+
+asio::awaitable<bool> skip_answer(backend_connection& connection)
+{
+    std::string body;
+    const bool whole = co_await read_whole_body(connection, body);
+    if (!whole || !connection.may_expect_next_answer())
+    {
+        co_return false;
+    }
+    connection.expect_next_answer();
+    co_return true;
+}
+
 asio::awaitable<void> deliver(exchange& served, http_response& answer)
 {
     remove_connection_fields(answer);
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -102,6 +102,14 @@
 asio::awaitable<bool>
 read_whole_body(backend_connection& connection, std::string& body);
 
+/// Whether the answer belongs to another request: a server may send an answer
+/// once more, late, where the next one is due.
+bool is_foreign(const exchange& served, const answer_facts& facts);
+
+/// Reads past an answer to another request; false if it does not end, or ends
+/// the connection. The own answer may follow.
+asio::awaitable<bool> skip_answer(backend_connection& connection);
+
 /// Sends a backend server's whole answer, without what concerned its
 /// connection only.
 asio::awaitable<void> deliver(exchange& served, http_response& answer);
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -42,18 +42,30 @@
 read_answer(exchange& served, backend_connection& connection)
 {
     attempt_result result;
-    const io_error failed = co_await connection.read_header();
-    if (failed)
+    while (!result.has_header)
     {
-        co_return result;
+        const io_error failed = co_await connection.read_header();
+        if (failed)
+        {
+            co_return result;
+        }
+        const auto& read = connection.header();
+        result.facts = served.relay.codec.read_answer(read.result_int(), read);
+        result.has_header = !is_foreign(served, result.facts);
+        if (result.has_header)
+        {
+            break;
+        }
+        const bool goes_on = co_await skip_answer(connection);
+        if (!goes_on)
+        {
+            co_return result;
+        }
     }
-    result.has_header = true;
     const auto& header = connection.header();
-    result.facts = served.relay.codec.read_answer(header.result_int(), header);
     result.answer.base() = header;
     const bool whole =
         co_await read_whole_body(connection, result.answer.body());
-    // An answer to an earlier request may turn up where ours is due.
     const bool is_ours = result.facts.attempt == served.facts.attempt;
     if (!whole || !is_ours)
     {
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -197,21 +197,45 @@
     co_return stream_end::passed_on;
 }
 
+/// Reads the header of the next answer, past those to earlier requests. False
+/// if there is none.
+asio::awaitable<bool>
+read_own_header(exchange& served, backend_connection& connection)
+{
+    io_deadline silence = closes_when_silent(served, connection);
+    silence.set(
+        served.relay.time.now() + served.relay.node.bounds.stage_stall +
+        served.matched->latency_objective);
+    while (true)
+    {
+        const io_error failed = co_await connection.read_header();
+        if (failed)
+        {
+            co_return false;
+        }
+        const auto& header = connection.header();
+        const auto facts =
+            served.relay.codec.read_answer(header.result_int(), header);
+        if (!is_foreign(served, facts))
+        {
+            co_return true;
+        }
+        const bool goes_on = co_await skip_answer(connection);
+        if (!goes_on)
+        {
+            co_return false;
+        }
+    }
+}
+
 asio::awaitable<stream_end> read_stream(
     stream_state& state,
     const routed_pipeline& routed,
     backend_connection& connection)
 {
     exchange& served = state.served;
-    io_error failed;
-    {
-        io_deadline silence = closes_when_silent(served, connection);
-        silence.set(
-            served.relay.time.now() + served.relay.node.bounds.stage_stall +
-            served.matched->latency_objective);
-        failed = co_await connection.read_header();
-    }
-    if (failed)
+    const bool is_due = co_await read_own_header(served, connection);
+    if (!is_due)
     {
         co_return stream_end::broken;
     }
