Routing: owners of limits that stop, start or fall silent are told to all

Cause: each instance found out by itself that an owner was silent, and asked it again after a pause of its own, so that some asked one owner and some another; both granted the whole limit.

Change: whoever finds an owner silent tells all; a stopping instance says so and leaves the grants to others; one that starts, or hears that it is passed over, says that it grants. A message of another kind no longer clears a silence at a single instance.

--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -60,6 +60,9 @@
 /// Progress is told at least this often, and at once when it grows.
 constexpr duration progress_interval = 500ms;
 
+/// Announcements after the start: one may be lost.
+constexpr int max_announcements = 2;
+
 /// Other instances that are told again, each time others, of quarantined
 /// prompts.
 constexpr std::size_t repeated_to = 3;
@@ -452,7 +455,6 @@
 
 void relay_process::on_peer_message(const peer_message& message)
 {
-    this->rate_limits.on_heard(sender_of(message));
     if (const auto* limit = std::get_if<limit_notice>(&message))
     {
         this->rate_limits.on_message(limit->from, limit->message);
@@ -583,6 +585,12 @@
     this->rate_limits.set_peers(
         std::move(ids), this->census.count() > 0 ? 1 : unknown_instances);
     this->rate_limits.send_due_reports();
+    if (this->announcements < max_announcements && !peers->empty())
+    {
+        // The others may still pass it over since it was stopped.
+        ++this->announcements;
+        this->rate_limits.announce();
+    }
 }
 
 void relay_process::tell_crash_news(const crash_news& news)
@@ -785,6 +793,7 @@
         {{"active_requests", this->relay.active_requests},
          {"open_connections", this->relay.open_connections}});
     this->drain_began = this->time.now();
+    this->rate_limits.leave();
     this->server.begin_drain();
     this->duty.release();
     this->duty.wake();
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -160,6 +160,7 @@
     time_point next_reload{};
     time_point drain_began{};
     bool accepts = true;
+    int announcements = 0;
     bool has_all_watches = false;
 
     /// Used by the duties' thread alone.
--- a/source/notices/notice_codec.cpp
+++ b/source/notices/notice_codec.cpp
@@ -94,6 +94,14 @@
         return fields;
     }
 
+    nlohmann::json operator()(const owner_presence& told) const
+    {
+        return {
+            {"instance", told.instance.str()},
+            {"available", told.available},
+            {"pause_ms", milliseconds_of(told.pause)}};
+    }
+
     nlohmann::json operator()(const grant_reply& reply) const
     {
         return {
@@ -253,6 +261,14 @@
         reply.grant.wait = decode_milliseconds(fields, "wait_ms");
         told.message = reply;
     }
+    else if (fields.has("available"))
+    {
+        owner_presence presence;
+        presence.instance = instance_id{fields.string("instance")};
+        presence.available = fields.boolean("available");
+        presence.pause = decode_milliseconds(fields, "pause_ms");
+        told.message = presence;
+    }
     else if (fields.has("asks"))
     {
         const std::uint64_t number = fields.unsigned_integer("asks", most);
@@ -265,6 +281,12 @@
     return told;
 }
 
+bool is_limit_notice(const nlohmann::json& document)
+{
+    return document.contains("limited") || document.contains("replies") ||
+           document.contains("available");
+}
+
 bool is_crash_notice(const nlohmann::json& document)
 {
     return document.contains("crashed") || document.contains("begun") ||
@@ -315,7 +337,7 @@
     {
         message = decode_notice(fields);
     }
-    else if (document->contains("limited") || document->contains("replies"))
+    else if (is_limit_notice(*document))
     {
         message = decode_limit(fields);
     }
--- a/source/relay/rate_limit_gate.cpp
+++ b/source/relay/rate_limit_gate.cpp
@@ -20,6 +20,12 @@
 /// get lost.
 constexpr int max_asks = 3;
 
+/// Announcements of this instance are at least this far apart.
+constexpr duration announcement_pause = 100ms;
+
+/// A stopping instance is not asked for this long, unless it starts again.
+constexpr duration leaving_pause = 1min;
+
 /// Owners asked one after the other for one request.
 constexpr int max_owners = 4;
 
@@ -78,6 +84,10 @@
         const rate_grant grant = this->limits.grant(asked->known, now);
         this->send(grant_reply{asked->number, grant}, from);
     }
+    else if (const auto* presence = std::get_if<owner_presence>(&message))
+    {
+        this->on_presence(*presence);
+    }
     else
     {
         const auto& reply = std::get<grant_reply>(message);
@@ -90,9 +100,41 @@
     }
 }
 
-void rate_limit_gate::on_heard(const instance_id& peer)
+void rate_limit_gate::on_presence(const owner_presence& told)
+{
+    if (told.instance != this->self)
+    {
+        this->limits.on_presence(told, this->time.now());
+    }
+    else if (told.available == this->is_leaving)
+    {
+        // Somebody missed a reply, or what was announced.
+        this->announce();
+    }
+}
+
+void rate_limit_gate::announce()
+{
+    const time_point now = this->time.now();
+    if (now < this->next_announcement)
+    {
+        return;
+    }
+    this->next_announcement = now + announcement_pause;
+    this->send(
+        owner_presence{
+            this->self,
+            !this->is_leaving,
+            this->is_leaving ? leaving_pause : duration{}},
+        std::nullopt);
+}
+
+void rate_limit_gate::leave()
 {
-    this->limits.on_heard(peer);
+    this->is_leaving = true;
+    this->next_announcement = {};
+    this->limits.leave();
+    this->announce();
 }
 
 asio::awaitable<bool> rate_limit_gate::acquire(const server_id& server)
@@ -118,7 +160,8 @@
         if (!grant)
         {
             ++this->totals.unanswered;
-            this->limits.on_silent(owner, this->time.now());
+            this->send(
+                this->limits.on_silent(owner, this->time.now()), std::nullopt);
             continue;
         }
         ++(grant->granted ? this->totals.granted : this->totals.denied);
--- a/source/relay/rate_limit_gate.hpp
+++ b/source/relay/rate_limit_gate.hpp
@@ -48,8 +48,11 @@
 
     void on_message(const instance_id& from, const limit_message& message);
 
-    /// Any message of the instance arrived.
-    void on_heard(const instance_id& peer);
+    /// Tells all others whether this instance grants requests.
+    void announce();
+
+    /// This instance stops: others grant from now on.
+    void leave();
 
     /// Whether one request may be sent to the server now. False: it is among
     /// the exhausted ones for some time.
@@ -73,6 +76,8 @@
         std::optional<rate_grant> grant;
     };
 
+    void on_presence(const owner_presence& told);
+
     asio::awaitable<std::optional<rate_grant>>
     ask(const instance_id& owner, const server_limit& known);
 
@@ -82,6 +87,8 @@
     server_rate_limits limits;
     send_function send = [](const limit_message&,
                             const std::optional<instance_id>&) {};
+    bool is_leaving = false;
+    time_point next_announcement{};
     std::uint64_t next_number = 1;
     absl::flat_hash_map<std::uint64_t, pending*> waiting;
 };
--- a/source/routing/server_rate_limits.cpp
+++ b/source/routing/server_rate_limits.cpp
@@ -92,7 +92,8 @@
 server_rate_limits::owner_of(const server_id& server, time_point now) const
 {
     instance_id owner = this->self;
-    std::uint64_t most = rendezvous_weight(server.str(), owner.str());
+    std::uint64_t most =
+        this->is_leaving ? 0 : rendezvous_weight(server.str(), owner.str());
     for (const instance_id& peer : this->others)
     {
         const auto weight = rendezvous_weight(server.str(), peer.str());
@@ -160,18 +161,31 @@
     }
 }
 
-void server_rate_limits::on_silent(const instance_id& owner, time_point now)
+owner_presence
+server_rate_limits::on_silent(const instance_id& owner, time_point now)
 {
     silence& known = this->silent[owner];
     known.length = known.length == duration{}
                        ? this->limits.initial_silence
                        : std::min(known.length * 2, this->limits.max_silence);
     known.until = now + known.length;
+    return {owner, false, known.length};
 }
 
-void server_rate_limits::on_heard(const instance_id& peer)
+void server_rate_limits::on_presence(const owner_presence& told, time_point now)
 {
-    this->silent.erase(peer);
+    if (told.available)
+    {
+        this->silent.erase(told.instance);
+        return;
+    }
+    const duration pause = std::min(told.pause, this->limits.max_silence);
+    this->silent[told.instance] = {now + pause, pause};
+}
+
+void server_rate_limits::leave()
+{
+    this->is_leaving = true;
 }
 
 std::vector<server_id> server_rate_limits::exhausted(time_point now) const
--- a/source/routing/server_rate_limits.hpp
+++ b/source/routing/server_rate_limits.hpp
@@ -54,8 +54,21 @@
     bool operator==(const grant_reply&) const = default;
 };
 
+/// Whether an instance grants requests; told to all at once, so that they do
+/// not ask different owners.
+struct owner_presence
+{
+    instance_id instance;
+    bool available = true;
+    /// If not available: for how long it is not to be asked.
+    duration pause{};
+
+    bool operator==(const owner_presence&) const = default;
+};
+
 /// What instances send one another about servers with limits.
-using limit_message = std::variant<server_limit, grant_request, grant_reply>;
+using limit_message =
+    std::variant<server_limit, grant_request, grant_reply, owner_presence>;
 
 /// Limits of requests that servers named, for all instances together. For each
 /// server one instance, its owner by rendezvous hash, grants the requests of
@@ -118,8 +131,13 @@
     /// A request for the server was not granted: requests avoid it meanwhile.
     void on_denied(const server_id& server, duration wait, time_point now);
 
-    void on_silent(const instance_id& owner, time_point now);
-    void on_heard(const instance_id& peer);
+    /// An owner did not respond. Returns what to tell all others.
+    owner_presence on_silent(const instance_id& owner, time_point now);
+
+    void on_presence(const owner_presence& told, time_point now);
+
+    /// This instance stops: others grant from now on.
+    void leave();
 
     /// Servers that grant nothing for now.
     std::vector<server_id> exhausted(time_point now) const;
@@ -166,6 +184,7 @@
     /// Of the servers for which this instance was asked, or asked itself.
     absl::flat_hash_map<server_id, bucket> buckets;
     absl::flat_hash_map<instance_id, silence> silent;
+    bool is_leaving = false;
 };
 
 } // namespace fireflysail
--- a/unit_tests/notices/notice_codec_test.cpp
+++ b/unit_tests/notices/notice_codec_test.cpp
@@ -49,7 +49,10 @@
         limit_message{server_limit{server_id{"engine-7"}, std::nullopt, {}}},
         limit_message{grant_request{7, known}},
         limit_message{grant_reply{7, {false, std::chrono::milliseconds{80}}}},
-        limit_message{grant_reply{8, {true, {}}}});
+        limit_message{grant_reply{8, {true, {}}}},
+        limit_message{owner_presence{
+            instance_id{"entry-2"}, false, std::chrono::seconds{2}}},
+        limit_message{owner_presence{instance_id{"entry-2"}, true, {}}});
     const limit_notice told{instance_id{"entry-1"}, message};
     CHECK(decode_message(encode(told)) == peer_message{told});
     CHECK_FALSE(decode_message(R"({"from":"a","limited":"b","age_ms":-1})"));
--- a/unit_tests/routing/server_rate_limits_test.cpp
+++ b/unit_tests/routing/server_rate_limits_test.cpp
@@ -61,7 +61,7 @@
         instance_id owner = asking.owner_of(engine, this->now);
         while (this->stopped.contains(owner))
         {
-            asking.on_silent(owner, this->now);
+            this->tell_all(asking.on_silent(owner, this->now));
             owner = asking.owner_of(engine, this->now);
         }
         const rate_grant grant =
@@ -73,6 +73,37 @@
         return grant.granted;
     }
 
+    void tell_all(const owner_presence& told)
+    {
+        for (auto& [id, limits] : this->instances)
+        {
+            if (id != told.instance)
+            {
+                limits.on_presence(told, this->now);
+            }
+        }
+    }
+
+    void stop(const instance_id& id)
+    {
+        this->instances.at(id).leave();
+        this->tell_all({id, false, 1min});
+        this->stopped.insert(id);
+    }
+
+    void start(const instance_id& id)
+    {
+        auto others = this->ids;
+        std::erase(others, id);
+        this->instances.erase(id);
+        auto& limits =
+            this->instances.try_emplace(id, id, server_rate_limits::options{})
+                .first->second;
+        limits.set_peers(others, 1);
+        this->stopped.erase(id);
+        this->tell_all({id, true, {}});
+    }
+
     time_point now{1h};
     std::vector<instance_id> ids;
     std::map<instance_id, server_rate_limits> instances;
@@ -161,10 +192,48 @@
     auto& asking = all.instances.at(
         owner == all.ids.front() ? all.ids.back() : all.ids.front());
     CHECK(asking.owner_of(engine, all.now) != owner);
-    asking.on_heard(owner);
+    asking.on_presence({owner, true, {}}, all.now);
     CHECK(asking.owner_of(engine, all.now) == owner);
 }
 
+TEST_CASE("owners that stop and start in turn do not add up their grants")
+{
+    constexpr double limit = 9;
+    fleet all{30};
+    all.name(limit);
+    std::deque<time_point> recent;
+    std::size_t most = 0;
+    std::mt19937_64 random{5};
+    std::optional<instance_id> stopped;
+    for (int step = 0; step < 6'000; ++step)
+    {
+        all.now += 20ms;
+        const instance_id& from = all.ids[random() % all.ids.size()];
+        if (step % 60 == 0)
+        {
+            // The one that is asked by this instance.
+            stopped = all.instances.at(from).owner_of(engine, all.now);
+            all.stop(*stopped);
+        }
+        if (step % 60 == 40 && stopped)
+        {
+            all.start(*stopped);
+        }
+        const bool is_sent = !all.stopped.contains(from) && all.send(from);
+        if (is_sent)
+        {
+            all.name(limit);
+            recent.push_back(all.now);
+        }
+        while (!recent.empty() && all.now - recent.front() > window)
+        {
+            recent.pop_front();
+        }
+        most = std::max(most, recent.size());
+    }
+    CHECK(static_cast<double>(most) <= limit * 4 * 1.5 + 5);
+}
+
 TEST_CASE("a limit ends when answers no longer name it")
 {
     server_rate_limits limits{instance_id{"a"}, server_rate_limits::options{}};
