Routing: instances that all stop leave the grants of a limit to one of them

Cause: a stopping instance was passed over by the others like one that is lost, and where every other one was stopping, each granted itself the whole limit.

Change: stopping instances come last and still grant while no other is available.

--- a/source/notices/notice_codec.cpp
+++ b/source/notices/notice_codec.cpp
@@ -25,6 +25,23 @@
 /// Longest time that is read, in milliseconds.
 constexpr std::uint64_t max_milliseconds = 366ULL * 24 * 3'600 * 1'000;
 
+constexpr std::array all_states{
+    owner_state::available, owner_state::leaving, owner_state::silent};
+
+std::string name_of(owner_state state)
+{
+    switch (state)
+    {
+    case owner_state::available:
+        return "available";
+    case owner_state::leaving:
+        return "leaving";
+    case owner_state::silent:
+        return "silent";
+    }
+    return "";
+}
+
 nlohmann::json encode_parts(const std::vector<prompt_part>& parts)
 {
     auto encoded = nlohmann::json::array();
@@ -98,7 +115,7 @@
     {
         return {
             {"instance", told.instance.str()},
-            {"available", told.available},
+            {"state", name_of(told.state)},
             {"pause_ms", milliseconds_of(told.pause)}};
     }
 
@@ -248,6 +265,24 @@
     return known;
 }
 
+owner_state decode_state(field_reader& fields)
+{
+    const std::string name = fields.string("state");
+    const auto* const state = std::ranges::find(
+        all_states,
+        name,
+        [](owner_state candidate)
+        {
+            return name_of(candidate);
+        });
+    if (state == all_states.end())
+    {
+        fields.report("state", "unknown");
+        return owner_state::available;
+    }
+    return *state;
+}
+
 limit_notice decode_limit(field_reader& fields)
 {
     constexpr auto most = std::numeric_limits<std::uint64_t>::max();
@@ -261,11 +296,11 @@
         reply.grant.wait = decode_milliseconds(fields, "wait_ms");
         told.message = reply;
     }
-    else if (fields.has("available"))
+    else if (fields.has("state"))
     {
         owner_presence presence;
         presence.instance = instance_id{fields.string("instance")};
-        presence.available = fields.boolean("available");
+        presence.state = decode_state(fields);
         presence.pause = decode_milliseconds(fields, "pause_ms");
         told.message = presence;
     }
@@ -284,7 +319,7 @@
 bool is_limit_notice(const nlohmann::json& document)
 {
     return document.contains("limited") || document.contains("replies") ||
-           document.contains("available");
+           document.contains("state");
 }
 
 bool is_crash_notice(const nlohmann::json& document)
--- a/source/relay/rate_limit_gate.cpp
+++ b/source/relay/rate_limit_gate.cpp
@@ -23,7 +23,7 @@
 /// Announcements of this instance are at least this far apart.
 constexpr duration announcement_pause = 100ms;
 
-/// A stopping instance is not asked for this long, unless it starts again.
+/// A stopping instance comes last for this long, unless it starts again.
 constexpr duration leaving_pause = 1min;
 
 /// Owners asked one after the other for one request.
@@ -106,7 +106,7 @@
     {
         this->limits.on_presence(told, this->time.now());
     }
-    else if (told.available == this->is_leaving)
+    else if (told.state != this->own_presence().state)
     {
         // Somebody missed a reply, or what was announced.
         this->announce();
@@ -121,12 +121,16 @@
         return;
     }
     this->next_announcement = now + announcement_pause;
-    this->send(
-        owner_presence{
-            this->self,
-            !this->is_leaving,
-            this->is_leaving ? leaving_pause : duration{}},
-        std::nullopt);
+    this->send(this->own_presence(), std::nullopt);
+}
+
+owner_presence rate_limit_gate::own_presence() const
+{
+    if (this->is_leaving)
+    {
+        return {this->self, owner_state::leaving, leaving_pause};
+    }
+    return {this->self, owner_state::available, {}};
 }
 
 void rate_limit_gate::leave()
--- a/source/relay/rate_limit_gate.hpp
+++ b/source/relay/rate_limit_gate.hpp
@@ -77,6 +77,7 @@
     };
 
     void on_presence(const owner_presence& told);
+    owner_presence own_presence() const;
 
     asio::awaitable<std::optional<rate_grant>>
     ask(const instance_id& owner, const server_limit& known);
--- a/source/routing/server_rate_limits.cpp
+++ b/source/routing/server_rate_limits.cpp
@@ -91,26 +91,36 @@
 instance_id
 server_rate_limits::owner_of(const server_id& server, time_point now) const
 {
+    const auto rank = [this, &server, now](const instance_id& instance)
+    {
+        const bool is_available =
+            this->state_of(instance, now) == owner_state::available;
+        return std::pair{
+            is_available, rendezvous_weight(server.str(), instance.str())};
+    };
     instance_id owner = this->self;
-    std::uint64_t most =
-        this->is_leaving ? 0 : rendezvous_weight(server.str(), owner.str());
     for (const instance_id& peer : this->others)
     {
-        const auto weight = rendezvous_weight(server.str(), peer.str());
-        if (weight > most && !this->is_silent(peer, now))
+        if (this->state_of(peer, now) != owner_state::silent &&
+            rank(peer) > rank(owner))
         {
             owner = peer;
-            most = weight;
         }
     }
     return owner;
 }
 
-bool server_rate_limits::is_silent(
-    const instance_id& peer, time_point now) const
+owner_state
+server_rate_limits::state_of(const instance_id& peer, time_point now) const
 {
-    const auto found = this->silent.find(peer);
-    return found != this->silent.end() && now < found->second.until;
+    if (peer == this->self)
+    {
+        return this->is_leaving ? owner_state::leaving : owner_state::available;
+    }
+    const auto found = this->absent.find(peer);
+    return found != this->absent.end() && now < found->second.until
+               ? found->second.state
+               : owner_state::available;
 }
 
 double server_rate_limits::rate_of(double limit) const
@@ -164,23 +174,26 @@
 owner_presence
 server_rate_limits::on_silent(const instance_id& owner, time_point now)
 {
-    silence& known = this->silent[owner];
-    known.length = known.length == duration{}
-                       ? this->limits.initial_silence
-                       : std::min(known.length * 2, this->limits.max_silence);
+    absence& known = this->absent[owner];
+    const bool is_repeated =
+        known.state == owner_state::silent && known.length != duration{};
+    known.length = is_repeated
+                       ? std::min(known.length * 2, this->limits.max_silence)
+                       : this->limits.initial_silence;
+    known.state = owner_state::silent;
     known.until = now + known.length;
-    return {owner, false, known.length};
+    return {owner, owner_state::silent, known.length};
 }
 
 void server_rate_limits::on_presence(const owner_presence& told, time_point now)
 {
-    if (told.available)
+    if (told.state == owner_state::available)
     {
-        this->silent.erase(told.instance);
+        this->absent.erase(told.instance);
         return;
     }
     const duration pause = std::min(told.pause, this->limits.max_silence);
-    this->silent[told.instance] = {now + pause, pause};
+    this->absent[told.instance] = {told.state, now + pause, pause};
 }
 
 void server_rate_limits::leave()
--- a/source/routing/server_rate_limits.hpp
+++ b/source/routing/server_rate_limits.hpp
@@ -54,13 +54,22 @@
     bool operator==(const grant_reply&) const = default;
 };
 
+enum class owner_state
+{
+    available,
+    /// It stops, and grants only while no other instance is available.
+    leaving,
+    /// It did not respond.
+    silent,
+};
+
 /// Whether an instance grants requests; told to all at once, so that they do
 /// not ask different owners.
 struct owner_presence
 {
     instance_id instance;
-    bool available = true;
-    /// If not available: for how long it is not to be asked.
+    owner_state state = owner_state::available;
+    /// How long that holds, unless it is available.
     duration pause{};
 
     bool operator==(const owner_presence&) const = default;
@@ -166,13 +175,14 @@
         time_point told_at;
     };
 
-    struct silence
+    struct absence
     {
+        owner_state state = owner_state::silent;
         time_point until;
         duration length{};
     };
 
-    bool is_silent(const instance_id& peer, time_point now) const;
+    owner_state state_of(const instance_id& peer, time_point now) const;
     double rate_of(double limit) const;
     void forget_old(time_point now);
 
@@ -183,7 +193,7 @@
     absl::flat_hash_map<server_id, record> records;
     /// Of the servers for which this instance was asked, or asked itself.
     absl::flat_hash_map<server_id, bucket> buckets;
-    absl::flat_hash_map<instance_id, silence> silent;
+    absl::flat_hash_map<instance_id, absence> absent;
     bool is_leaving = false;
 };
 
--- a/unit_tests/notices/notice_codec_test.cpp
+++ b/unit_tests/notices/notice_codec_test.cpp
@@ -51,8 +51,17 @@
         limit_message{grant_reply{7, {false, std::chrono::milliseconds{80}}}},
         limit_message{grant_reply{8, {true, {}}}},
         limit_message{owner_presence{
-            instance_id{"entry-2"}, false, std::chrono::seconds{2}}},
-        limit_message{owner_presence{instance_id{"entry-2"}, true, {}}});
+            instance_id{"entry-2"},
+            owner_state::silent,
+            std::chrono::seconds{2}}},
+        limit_message{owner_presence{
+            instance_id{"entry-2"},
+            owner_state::leaving,
+            std::chrono::seconds{60}}},
+        limit_message{owner_presence{
+            instance_id{"entry-2"}, owner_state::available, {}}});
+    CHECK_FALSE(decode_message(
+        R"({"from":"a","instance":"b","state":"odd","pause_ms":1})"));
     const limit_notice told{instance_id{"entry-1"}, message};
     CHECK(decode_message(encode(told)) == peer_message{told});
     CHECK_FALSE(decode_message(R"({"from":"a","limited":"b","age_ms":-1})"));
--- a/unit_tests/routing/server_rate_limits_test.cpp
+++ b/unit_tests/routing/server_rate_limits_test.cpp
@@ -87,7 +87,7 @@
     void stop(const instance_id& id)
     {
         this->instances.at(id).leave();
-        this->tell_all({id, false, 1min});
+        this->tell_all({id, owner_state::leaving, 1min});
         this->stopped.insert(id);
     }
 
@@ -101,7 +101,7 @@
                 .first->second;
         limits.set_peers(others, 1);
         this->stopped.erase(id);
-        this->tell_all({id, true, {}});
+        this->tell_all({id, owner_state::available, {}});
     }
 
     time_point now{1h};
@@ -192,7 +192,7 @@
     auto& asking = all.instances.at(
         owner == all.ids.front() ? all.ids.back() : all.ids.front());
     CHECK(asking.owner_of(engine, all.now) != owner);
-    asking.on_presence({owner, true, {}}, all.now);
+    asking.on_presence({owner, owner_state::available, {}}, all.now);
     CHECK(asking.owner_of(engine, all.now) == owner);
 }
 
@@ -234,6 +234,22 @@
     CHECK(static_cast<double>(most) <= limit * 4 * 1.5 + 5);
 }
 
+TEST_CASE("instances that all stop at once do not each grant a whole limit")
+{
+    constexpr double limit = 9;
+    fleet all{9};
+    all.name(limit);
+    for (const instance_id& id : all.ids)
+    {
+        // They go on serving what they have for some seconds.
+        all.instances.at(id).leave();
+        all.tell_all({id, owner_state::leaving, 1min});
+    }
+    const auto result = run(all, limit, limit * 5, 6);
+    CHECK(static_cast<double>(result.most_in_window) <= limit * 4 * 1.5 + 5);
+    CHECK(static_cast<double>(result.sent) >= limit * 30 * 0.7);
+}
+
 TEST_CASE("a limit ends when answers no longer name it")
 {
     server_rate_limits limits{instance_id{"a"}, server_rate_limits::options{}};
