--- a/source/routing/prompt_suspicion.cpp
+++ b/source/routing/prompt_suspicion.cpp
@@ -81,8 +81,7 @@
     {
         return std::nullopt;
     }
-    const auto begun =
-        this->begin_quarantine(this->suspects.at(*guilty).common, now);
+    auto begun = this->begin_quarantine(this->suspects.at(*guilty).common, now);
     this->explain_crashes(*guilty, now);
     return begun;
 }
