--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -125,10 +125,18 @@
         self.record = record
         self.copy_lag_s = copy_lag_s
         self.revision = 100
+        # Text that stands on the wire in place of a marked value.
+        self.raw = {}
         # (time, revision, kind, object, deleted)
         self.history = []
         self.objects = {}
 
+    def encode(self, document):
+        text = json.dumps(document)
+        for mark, raw in self.raw.items():
+            text = text.replace(json.dumps(mark), raw)
+        return text.encode()
+
     def put(self, kind, name, spec):
         self.revision += 1
         stored = {"Metadata": {"Name": name, "Revision": self.revision,
@@ -162,9 +170,9 @@
         is_copy = asked.get("Serializable") == "1"
         kind = parts[0]
         if method == "GET" and "Watch" in asked:
-            answer(writer, 200, json.dumps(await self.changes(
+            answer(writer, 200, self.encode(await self.changes(
                 kind, int(asked["Watch"]), int(asked["WaitMs"]) / 1000,
-                is_copy)).encode())
+                is_copy)))
         elif method == "GET" and len(parts) == 1:
             items = {}
             changes = self.seen(is_copy)
@@ -173,13 +181,13 @@
                     items.pop(stored["Metadata"]["Name"], None)
                     if not deleted:
                         items[stored["Metadata"]["Name"]] = stored
-            answer(writer, 200, json.dumps(
+            answer(writer, 200, self.encode(
                 {"Items": list(items.values()), "HasMore": False,
-                 "AsOf": changes[-1][1] if changes else 100}).encode())
+                 "AsOf": changes[-1][1] if changes else 100}))
         elif method == "GET":
             found = self.objects.get(kind, {}).get(parts[1])
             answer(writer, 200 if found else 404,
-                   json.dumps(found or {}).encode())
+                   self.encode(found or {}))
         else:
             self.write(writer, method, kind, parts, asked,
                        json.loads(body) if body else {})
@@ -210,13 +218,13 @@
                 found["Metadata"]["Revision"] != expected)
         if is_refused:
             answer(writer, 409 if found else 404,
-                   json.dumps(found or {}).encode())
+                   self.encode(found or {}))
         elif method == "DELETE":
             self.remove(kind, name)
             answer(writer, 200, b"{}")
         else:
-            answer(writer, 200, json.dumps(
-                self.put(kind, name, wanted["Spec"])).encode())
+            answer(writer, 200, self.encode(
+                self.put(kind, name, wanted["Spec"])))
 
 
 class Desk(Listener):
@@ -473,6 +481,38 @@
                         .replace(" ", "_"))
         return status, body
 
+    async def keep_asking(self, path, stop):
+        """Asks on one kept connection until it closes or `stop` is set; counts
+        what was closed without an answer."""
+        reader, writer = await asyncio.open_connection(
+            self.relay.host, self.relay.ports[0])
+        try:
+            while not stop.is_set():
+                attempt = f"{self.random.getrandbits(64):016x}"
+                self.sent[attempt] = (time.monotonic(), path, "POST", KEY)
+                self.record.add("sends", request=attempt, path=path,
+                                to=self.relay.node, on="kept_connection")
+                writer.write((
+                    f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n"
+                    f"X-Fireflysail-Attempt-Id: {attempt}\r\n"
+                    "X-Fireflysail-Deadline-Ms: 2500\r\n"
+                    f"Authorization: Bearer {KEY}\r\n"
+                    "Content-Length: 0\r\n\r\n").encode())
+                header = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                length = next(line.split(":")[1]
+                              for line in header.split("\r\n")
+                              if line.startswith("content-length"))
+                body = await reader.readexactly(int(length))
+                status = int(header.split(" ")[1])
+                self.answers[attempt] = (time.monotonic(), status, body)
+                self.record.add("answered", request=attempt, status=status)
+                if "connection: close" in header:
+                    break
+        except (asyncio.IncompleteReadError, OSError):
+            self.answers[attempt] = (time.monotonic(), 0, b"")
+            self.record.add("closed_without_an_answer", request=attempt)
+        writer.close()
+
     async def steady(self, paths, per_s, until):
         """Asks for the paths in turn until the moment that `until` names."""
         running = set()
