--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Configurations come in quick succession while eight instances run.
+"""Configurations come in quick succession while nine instances run.
 
 CONFIG: no request that was sent later than ConfigApplyMs after the
 confirmation of a version is handled as only an older version allows."""
@@ -11,7 +11,7 @@
                                 "../lib"))
 import world  # noqa: E402
 
-INSTANCES = 8
+INSTANCES = 9
 # Age of what a call with Serializable returns.
 COPY_LAG_S = float(os.environ.get("COPY_LAG_S", "3"))
 STORM_S = 4.0
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -29,7 +29,6 @@
 
     def __init__(self, folder):
         self.began = time.monotonic()
-        # pylint: disable-next=consider-using-with
         self.file = open(os.path.join(folder, "record.txt"), "w",
                          encoding="utf-8")
 
@@ -564,11 +563,15 @@
     record = Record(folder)
 
     async def run():
+        # A case that is stopped still ends the processes that it started.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as scratch:
             return await asyncio.wait_for(script(record, scratch), 110)
     try:
         code = asyncio.run(run())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:
         record.add("could_not_run", error=repr(error))
         print(f"could not run: {error!r}")
         code = 2
