--- a/review/4/case.py
+++ b/review/4/case.py
@@ -58,7 +58,7 @@
         store.put("config", "main", version(2, is_old=False))
         confirmed = time.monotonic()
         number = 2
-        while time.monotonic() < confirmed + STORM_S:
+        while time.monotonic() + GAP_S < confirmed + STORM_S:
             await asyncio.sleep(GAP_S)
             number += 1
             if world.with_trouble():
