Platform: an entry of lists in lists no longer ends the process

Cause: each object of another writer was written as text again to be kept, and the JSON library calls itself once a level there, on the stack of the watch's thread.

--- a/source/api/completion_codec.cpp
+++ b/source/api/completion_codec.cpp
@@ -1,5 +1,7 @@
 #include "api/completion_codec.hpp"
 
+#include "common/json_text.hpp"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -91,7 +93,7 @@
     completion_shape shape,
     const completion_limits& limits)
 {
-    const auto body = json::parse(text, nullptr, false);
+    const auto body = parse_json(text);
     if (!body.is_object())
     {
         return body_mistake{"The body must be a JSON object."};
--- a/source/backend/engine_codec.cpp
+++ b/source/backend/engine_codec.cpp
@@ -1,6 +1,7 @@
 #include "backend/engine_codec.hpp"
 
 #include "common/error.hpp"
+#include "common/json_text.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -167,7 +168,7 @@
 {
     try
     {
-        return read_event(json::parse(text));
+        return read_event(parse_json(text));
     }
     catch (const std::exception&)
     {
@@ -179,7 +180,7 @@
 {
     try
     {
-        return read_status(json::parse(text));
+        return read_status(parse_json(text));
     }
     catch (const std::exception&)
     {
--- a/source/cluster/claim_inquiries.cpp
+++ b/source/cluster/claim_inquiries.cpp
@@ -1,6 +1,7 @@
 #include "cluster/claim_inquiries.hpp"
 
 #include "common/error.hpp"
+#include "common/json_text.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -96,7 +97,7 @@
 {
     try
     {
-        const auto message = json::parse(text);
+        const auto message = parse_json(text);
         return claim_question{
             instance_id{message.at("claimant").get<std::string>()},
             attempt_id{message.at("attempt").get<std::string>()}};
@@ -122,7 +123,7 @@
 {
     try
     {
-        return read_answer(json::parse(text));
+        return read_answer(parse_json(text));
     }
     catch (const std::exception&)
     {
--- a/source/cluster/shared_state.cpp
+++ b/source/cluster/shared_state.cpp
@@ -1,5 +1,6 @@
 #include "cluster/shared_state.hpp"
 
+#include "common/json_text.hpp"
 #include "control/marks_codec.hpp"
 
 #include <fmt/format.h>
@@ -44,7 +45,7 @@
 
 crash_record decode_record(const std::string& text)
 {
-    const auto value = json::parse(text);
+    const auto value = parse_json(text);
     crash_record record;
     record.print = fingerprint{value.at("print").get<std::uint64_t>()};
     record.crashes = value.at("crashes").get<std::uint32_t>();
--- a/source/control/audit_trail.cpp
+++ b/source/control/audit_trail.cpp
@@ -1,6 +1,7 @@
 #include "control/audit_trail.hpp"
 
 #include "common/error.hpp"
+#include "common/json_text.hpp"
 
 #include <fmt/format.h>
 
@@ -55,8 +56,7 @@
         }
         return object.error();
     }
-    const auto record = decode_edit_record(
-        nlohmann::json::parse(object.value().value, nullptr, false));
+    const auto record = decode_edit_record(parse_json(object.value().value));
     if (!record)
     {
         return record.error();
@@ -74,7 +74,7 @@
     auto records = nlohmann::json::array();
     for (const auto& object : snapshot.value().objects)
     {
-        auto record = nlohmann::json::parse(object.value, nullptr, false);
+        auto record = parse_json(object.value);
         if (record.is_object())
         {
             records.push_back(std::move(record));
--- a/source/control/field_reader.cpp
+++ b/source/control/field_reader.cpp
@@ -1,4 +1,5 @@
 #include "control/field_reader.hpp"
+#include "common/json_text.hpp"
 
 #include <absl/strings/ascii.h>
 
@@ -31,7 +32,7 @@
 std::optional<nlohmann::json>
 parse_object(std::string_view text, std::vector<mistake>& mistakes)
 {
-    auto document = nlohmann::json::parse(text, nullptr, false);
+    auto document = parse_json(text);
     if (!document.is_object())
     {
         mistakes.push_back({"", "must be a JSON object"});
--- a/source/main/admin_client.cpp
+++ b/source/main/admin_client.cpp
@@ -1,5 +1,7 @@
 #include "main/admin_client.hpp"
 
+#include "common/json_text.hpp"
+
 #include <fmt/format.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -64,7 +66,7 @@
 
 void print_answer(const std::string& body, bool as_json)
 {
-    const auto document = json::parse(body, nullptr, false);
+    const auto document = parse_json(body);
     if (as_json || document.is_discarded())
     {
         fmt::print("{}\n", body);
--- a/source/peer/json_fields.hpp
+++ b/source/peer/json_fields.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/error.hpp"
+#include "common/json_text.hpp"
 #include "common/result.hpp"
 
 #include <nlohmann/json.hpp>
@@ -92,7 +93,7 @@
 auto decode_with(Reader reader, std::string_view text)
     -> result<decltype(reader(nlohmann::json{}))>
 {
-    const nlohmann::json message = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json message = parse_json(text);
     if (!message.is_object())
     {
         return make_error_code(errc::malformed);
--- a/source/store/claim_codec.cpp
+++ b/source/store/claim_codec.cpp
@@ -1,6 +1,7 @@
 #include "store/claim_codec.hpp"
 
 #include "common/hash.hpp"
+#include "common/json_text.hpp"
 #include "store/store_codec.hpp"
 
 #include <absl/strings/escaping.h>
@@ -135,7 +136,7 @@
 
 result<ledger_entry> decode_claim(std::string_view value)
 {
-    const json from = json::parse(value, nullptr, false);
+    const json from = parse_json(value);
     if (!from.is_object())
     {
         return errc::malformed;
--- a/source/store/claim_sweeper.cpp
+++ b/source/store/claim_sweeper.cpp
@@ -1,5 +1,6 @@
 #include "store/claim_sweeper.hpp"
 
+#include "common/json_text.hpp"
 #include "store/claim_codec.hpp"
 
 #include <nlohmann/json.hpp>
@@ -36,7 +37,7 @@
 
 result<retention_marks> decode(const std::string& value)
 {
-    const json from = json::parse(value, nullptr, false);
+    const json from = parse_json(value);
     if (!from.is_object() || !from.contains("starts") ||
         !from["starts"].is_array())
     {
--- a/source/store/store_codec.cpp
+++ b/source/store/store_codec.cpp
@@ -1,5 +1,7 @@
 #include "store/store_codec.hpp"
 
+#include "common/json_text.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -22,11 +24,6 @@
            letter == '.' || letter == '~';
 }
 
-json parse(std::string_view body)
-{
-    return json::parse(body, nullptr, false);
-}
-
 std::optional<std::string> text_at(const json& from, const char* name)
 {
     const auto found = from.find(name);
@@ -108,7 +105,7 @@
 
 result<stored_object> parse_object(std::string_view body)
 {
-    auto object = object_from(parse(body));
+    auto object = object_from(parse_json(body));
     if (!object)
     {
         return errc::malformed;
@@ -118,7 +115,7 @@
 
 result<store_snapshot> parse_snapshot(std::string_view body)
 {
-    const json parsed = parse(body);
+    const json parsed = parse_json(body);
     const auto version =
         parsed.is_object() ? revision_at(parsed, "revision") : std::nullopt;
     if (!version || !parsed.contains("objects") ||
@@ -142,7 +139,7 @@
 
 result<watch_batch> parse_watch_batch(std::string_view body)
 {
-    const json parsed = parse(body);
+    const json parsed = parse_json(body);
     const auto next =
         parsed.is_object() ? revision_at(parsed, "next") : std::nullopt;
     if (!next || !parsed.contains("events") || !parsed["events"].is_array())
@@ -173,7 +170,7 @@
 
 result<revision> parse_written(std::string_view body)
 {
-    const json parsed = parse(body);
+    const json parsed = parse_json(body);
     const auto version =
         parsed.is_object() ? revision_at(parsed, "revision") : std::nullopt;
     if (!version)
@@ -185,7 +182,7 @@
 
 bool says_unavailable(std::string_view body)
 {
-    const json parsed = parse(body);
+    const json parsed = parse_json(body);
     return parsed.is_object() && text_at(parsed, "error") == "unavailable";
 }
 
--- /dev/null
+++ b/unit_tests/platform/object_store_test.cpp
@@ -0,0 +1,102 @@
+#include "common/error.hpp"
+#include "platform/object_store.hpp"
+#include "platform/server_codec.hpp"
+#include "scripted_store.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <string>
+
+using namespace fireflysail;
+using namespace fireflysail::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string kind = "servers";
+
+const std::string sound =
+    R"({"Service": "s", "Address": "10.0.0.9:8080", "Zone": "a", "Slots": 6,
+        "State": "ready"})";
+
+std::string object_text(std::string_view name, std::string_view spec)
+{
+    return fmt::format(
+        R"({{"Metadata": {{"Name": "{}", "Revision": 7}}, "Spec": {}}})",
+        name,
+        spec);
+}
+
+std::string list_text(std::string_view items)
+{
+    return fmt::format(
+        R"({{"Items": [{}], "HasMore": false, "AsOf": 9}})", items);
+}
+
+std::string event_text(std::string_view name, std::string_view spec)
+{
+    return fmt::format(
+        R"({{"Object": {}, "Deleted": false}})", object_text(name, spec));
+}
+
+/// An entry of another writer that cannot be read.
+std::string unreadable_entry()
+{
+    const std::string deep =
+        std::string(400'000, '[') + std::string(400'000, ']');
+    return GENERATE_COPY(fmt::format(R"({{"Zone": {}}})", deep));
+}
+
+} // namespace
+
+// Guards against the end of the process by lists in lists in an entry.
+TEST_CASE("an unreadable entry costs only itself")
+{
+    const std::string unreadable = unreadable_entry();
+    const boot_clock time;
+    const scripted_store server{
+        [&unreadable](const std::string& target) -> std::string
+        {
+            if (target.find("Watch=") != std::string::npos)
+            {
+                return fmt::format(
+                    R"({{"events": [{}, {}, {}], "AsOf": 9}})",
+                    event_text("first", sound),
+                    event_text("other", unreadable),
+                    event_text("last", sound));
+            }
+            return list_text(fmt::format(
+                "{}, {}, {}",
+                object_text("first", sound),
+                object_text("other", unreadable),
+                object_text("last", sound)));
+        }};
+    object_store store{server.address(), time};
+    const auto is_server = [](const stored_object& object)
+    {
+        return decode_server(server_id{object.key.name}, object.value)
+            .has_value();
+    };
+    SECTION("in a list")
+    {
+        const auto listed = store.list({kind}, time.now() + 10s);
+        REQUIRE(listed);
+        REQUIRE(listed.value().objects.size() == 3);
+        CHECK(is_server(listed.value().objects[0]));
+        CHECK_FALSE(is_server(listed.value().objects[1]));
+        CHECK(is_server(listed.value().objects[2]));
+    }
+    SECTION("among changes")
+    {
+        const auto changes = store.watch({kind}, revision{5}, time.now() + 10s);
+        REQUIRE(changes);
+        REQUIRE(changes.value().events.size() == 3);
+        CHECK(is_server(changes.value().events[0].object));
+        // Replaces what the entry said before.
+        CHECK(changes.value().events[1].object.key.name == "other");
+        CHECK_FALSE(is_server(changes.value().events[1].object));
+        CHECK(is_server(changes.value().events[2].object));
+    }
+}
