Platform: an unreadable part of a document costs only itself

Lists, changes and configurations were parsed in one piece, and the parser discards all of it for one string that is no text or one number that is too large.

The same now holds for the routes, services, workspaces and keys of a configuration. One whose list of workspaces cannot be read is rejected, as it would let in everybody.

--- a/unit_tests/platform/config_codec_test.cpp
+++ b/unit_tests/platform/config_codec_test.cpp
@@ -97,3 +97,41 @@
     CHECK(decode_config("no json").error() == errc::malformed);
     CHECK(decode_config(R"({"Version": "7"})").error() == errc::malformed);
 }
+
+// Guards against one entry that keeps a whole configuration out of force.
+TEST_CASE("an unreadable part of a configuration costs only itself")
+{
+    const std::string unreadable = GENERATE(
+        R"("\ud83d")",
+        "\"\xff\"",
+        "1e999",
+        std::string(400'000, '[') + std::string(400'000, ']'));
+    const std::string route =
+        R"({"Name": "r", "Host": "h", "PathPrefix": "/", "Service": "s"})";
+    const auto decoded = decode_config(
+        R"({"Version": 8, "Note": )" + unreadable + R"(,
+            "Routes": [{"Name": )" +
+        unreadable + "}, " + route + R"(],
+            "Services": [{"Name": )" +
+        unreadable + R"(}, {"Name": "s", "HealthPath": "/health"}],
+            "Tenants": [{"Name": "w1", "ApiKeys": [)" +
+        unreadable + R"(, "k1"]}, {"Name": )" + unreadable +
+        R"(, "ApiKeys": ["k2"]}]})");
+    REQUIRE(decoded);
+    const traffic_config& config = decoded.value();
+    CHECK(config.version == 8);
+    CHECK(find_route(config, "h", "/x") != nullptr);
+    CHECK(config.services.contains(service_id{"s"}));
+    CHECK(config.has_workspaces);
+    CHECK(config.keys.size() == 1);
+    CHECK(config.keys.contains("k1"));
+}
+
+TEST_CASE("a configuration whose workspaces cannot be read lets in nobody")
+{
+    const auto text = GENERATE(
+        R"({"Version": 8, "Tenants": "\ud83d"})",
+        R"({"Version": 8, "Tenants": 1e999})",
+        R"({"Version": 8, "Tenants": {}})");
+    CHECK(decode_config(text).error() == errc::malformed);
+}
--- a/unit_tests/platform/object_store_test.cpp
+++ b/unit_tests/platform/object_store_test.cpp
@@ -46,12 +46,18 @@
 {
     const std::string deep =
         std::string(400'000, '[') + std::string(400'000, ']');
-    return GENERATE_COPY(fmt::format(R"({{"Zone": {}}})", deep));
+    return GENERATE_COPY(
+        fmt::format(R"({{"Zone": {}}})", deep),
+        std::string{R"({"Zone": "\ud83d"})"},
+        std::string{"{\"Zone\": \"\xff\xfe\"}"},
+        std::string{"\"\xff\xfe\""},
+        std::string{R"({"Slots": 1e999})"});
 }
 
 } // namespace
 
-// Guards against the end of the process by lists in lists in an entry.
+// Guards against the end of the process by lists in lists in an entry, and
+// against one entry that hides all others.
 TEST_CASE("an unreadable entry costs only itself")
 {
     const std::string unreadable = unreadable_entry();
