Platform: numbers of other writers are bounded

Reported by other operators: an entry with a number too large or a port out of range. Here such an entry passed for a server: layers from were cut to layers from 0, a host name passed for an address, and a range of four billion layers would have been walked layer by layer. Times of 1e300 ms and limits of 2^63 ms had no defined value.

Layers, counts, times, sizes and factors are now bounded where they are read, an entry out of range names no server, and neither does one with layers that its model does not have. Limits of callers and ages told by peers are bounded the same way.

--- a/source/cluster/shared_state.cpp
+++ b/source/cluster/shared_state.cpp
@@ -50,10 +50,16 @@
     record.print = fingerprint{value.at("print").get<std::uint64_t>()};
     record.crashes = value.at("crashes").get<std::uint32_t>();
     record.quarantines = value.at("quarantines").get<std::uint32_t>();
-    record.crashed_ago =
-        milliseconds{value.at("crashed_ago_ms").get<std::int64_t>()};
-    record.quarantined_for =
-        milliseconds{value.at("quarantined_for_ms").get<std::int64_t>()};
+    const auto time_at = [&value](const char* name)
+    {
+        constexpr milliseconds longest = std::chrono::hours{24 * 366};
+        return std::clamp(
+            milliseconds{value.at(name).get<std::int64_t>()},
+            milliseconds::zero(),
+            longest);
+    };
+    record.crashed_ago = time_at("crashed_ago_ms");
+    record.quarantined_for = time_at("quarantined_for_ms");
     return record;
 }
 
--- a/source/control/fleet_builder.cpp
+++ b/source/control/fleet_builder.cpp
@@ -133,6 +133,17 @@
     return built;
 }
 
+/// Layers that the model does not have are the mistake of another writer.
+bool fits_model(const server_entry& entry, const engine_profile& profile)
+{
+    return std::ranges::all_of(
+        entry.layers,
+        [&profile](const held_layers& range)
+        {
+            return range.layers.last.value() <= profile.layers;
+        });
+}
+
 } // namespace
 
 const accelerator_profile*
@@ -163,7 +174,8 @@
             fleet.services.push_back(build_server(entry));
             continue;
         }
-        if (const auto* kind = find_accelerator(*profile, entry.kind))
+        const auto* kind = find_accelerator(*profile, entry.kind);
+        if (kind != nullptr && fits_model(entry, *profile))
         {
             fleet.engines.push_back(build_engine(entry, *profile, *kind));
         }
--- a/unit_tests/control/fleet_builder_test.cpp
+++ b/unit_tests/control/fleet_builder_test.cpp
@@ -105,3 +105,14 @@
             std::chrono::microseconds{4500});
     }
 }
+
+TEST_CASE("an entry with layers that the model does not have is no engine")
+{
+    server_entry entry;
+    entry.id = server_id{"e"};
+    entry.service = model;
+    entry.kind = accelerator_kind{"small"};
+    entry.layers.push_back(
+        {{layer_index{8}, layer_index{11}}, model_version{"1"}});
+    CHECK(build_fleet({entry}, make_config(), revision{1}).engines.empty());
+}
--- a/unit_tests/platform/config_codec_test.cpp
+++ b/unit_tests/platform/config_codec_test.cpp
@@ -135,3 +135,44 @@
         R"({"Version": 8, "Tenants": {}})");
     CHECK(decode_config(text).error() == errc::malformed);
 }
+
+// Guards against conversions whose result is undefined.
+TEST_CASE("numbers of a configuration are bounded")
+{
+    const std::string number =
+        GENERATE("1e300", "-1e300", "-1", "18446744073709551615");
+    const auto decoded = decode_config(
+        R"({"Version": 8, "Routes": [{"Name": "r", "Host": "h",
+            "PathPrefix": "/", "Service": "s", "TimeoutMs": )" +
+        number + R"(, "GoalMs": )" + number + R"(, "MaxAttempts": )" + number +
+        R"(}], "Services": [{"Name": "s", "MaxConns": )" + number +
+        R"(, "Engine": {"Layers": 80, "LayerMb": )" + number +
+        R"(, "KvTokenBytes": )" + number + R"(, "step_ms": )" + number +
+        R"(, "Models": [{"LoadS": )" + number + R"(}], "usual": {"prompt": )" +
+        number + R"(}, "Kinds": [{"Name": "k", "Mb": )" + number +
+        R"(, "pace": )" + number +
+        R"(}]}}], "Tenants": [{"Name": "w", "Priority": )" + number +
+        R"(, "ApiKeys": ["k"]}]})");
+    REQUIRE(decoded);
+    const traffic_config& config = decoded.value();
+    const route* found = find_route(config, "h", "/x");
+    REQUIRE(found != nullptr);
+    CHECK(found->timeout >= 0s);
+    CHECK(found->timeout <= 24h * 366);
+    CHECK(found->most_attempts >= 1);
+    const auto& engines = config.services.at(service_id{"s"}).engines;
+    REQUIRE(engines);
+    CHECK(engines->load_time >= 0s);
+    CHECK(engines->load_time <= 24h * 366);
+    CHECK(engines->mean_prompt_tokens <= 1'000'000'000);
+    CHECK(engines->accelerators.front().step_factor > 0);
+}
+
+TEST_CASE("a model with too many layers has no engines")
+{
+    const auto decoded = decode_config(
+        R"({"Version": 8,
+            "Services": [{"Name": "s", "Engine": {"Layers": 4000000000}}]})");
+    REQUIRE(decoded);
+    CHECK_FALSE(decoded.value().services.at(service_id{"s"}).engines);
+}
--- a/unit_tests/platform/header_codec_test.cpp
+++ b/unit_tests/platform/header_codec_test.cpp
@@ -83,6 +83,17 @@
     CHECK(facts.key.empty());
 }
 
+TEST_CASE("a caller's time limit is bounded")
+{
+    http_fields header;
+    header.set("X-Fireflysail-Deadline-Ms", "9223372036854775807");
+    CHECK(codec.read_request(header).time_limit == duration{24h * 366});
+    header.set("X-Fireflysail-Deadline-Ms", "-9223372036854775808");
+    CHECK(codec.read_request(header).time_limit == duration{0s});
+    header.set("X-Fireflysail-Deadline-Ms", "9223372036854775808");
+    CHECK_FALSE(codec.read_request(header).time_limit);
+}
+
 TEST_CASE("a dispatch replaces what the caller set in our fields")
 {
     http_fields header;
