Platform: a list does not wait on a connection that went silent

The silent watch was found in time; the list that followed took over an idle connection that was silent as well, and waited for its whole limit of 2 s.

Connections to the store are also limited by keep-alive probes and TCP_USER_TIMEOUT.

--- a/source/store/http_channel.cpp
+++ b/source/store/http_channel.cpp
@@ -1,6 +1,7 @@
 #include "store/http_channel.hpp"
 
 #include "common/error.hpp"
+#include "http/silence_limit.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -118,6 +119,7 @@
         this->current.reset();
         return errc::unavailable;
     }
+    limit_silence(this->current->stream.socket().native_handle());
     return {};
 }
 
--- a/unit_tests/platform/object_store_test.cpp
+++ b/unit_tests/platform/object_store_test.cpp
@@ -106,3 +106,62 @@
         CHECK(is_server(changes.value().events[2].object));
     }
 }
+
+// Guards against a list that waits on a connection that went silent while it
+// was idle.
+TEST_CASE("a list does not wait on a silent connection")
+{
+    const boot_clock time;
+    scripted_store server{
+        [](const std::string& target) -> std::string
+        {
+            return target.find("Watch=") == std::string::npos
+                       ? list_text("")
+                       : R"({"events": [], "AsOf": 9})";
+        }};
+    object_store store{server.address(), time};
+    REQUIRE(store.list({kind}, time.now() + 10s));
+    REQUIRE(store.watch({kind}, revision{9}, time.now() + 10s));
+    SECTION("and neither does a write")
+    {
+        server.silence_open_connections();
+        const auto written = store.update(
+            {kind, "name"}, "value", revision{7}, time.now() + 10s);
+        // The script answers with a list, not with an object.
+        CHECK(written.error() == errc::unknown_effect);
+        CHECK(server.connection_count() == 2);
+    }
+    SECTION("however many are kept")
+    {
+        REQUIRE(store.list({kind}, time.now() + 10s));
+        server.silence_open_connections();
+        CHECK(store.list({kind}, time.now() + 10s));
+        CHECK(store.list({kind}, time.now() + 10s));
+    }
+}
+
+TEST_CASE("the next watch uses the connection of the last one")
+{
+    const boot_clock time;
+    const scripted_store server{
+        [](const std::string&) -> std::string
+        {
+            return R"({"events": [], "AsOf": 9})";
+        }};
+    manual_clock store_time;
+    object_store store{server.address(), store_time};
+    const auto watch = [&]
+    {
+        return store.watch({kind}, revision{9}, store_time.now() + 10s)
+            .has_value();
+    };
+    REQUIRE(watch());
+    REQUIRE(watch());
+    CHECK(server.connection_count() == 1);
+    SECTION("unless that was idle for long")
+    {
+        store_time.advance(1s + 1ms);
+        REQUIRE(watch());
+        CHECK(server.connection_count() == 2);
+    }
+}
