Store: the lag of a copy counts from the first change that it lacks

It now counts from the first change told of that has not arrived here. The changes are kept in order, 64 at most; the last stands for all after it.

--- a/source/store/vouched_store.cpp
+++ b/source/store/vouched_store.cpp
@@ -1,10 +1,19 @@
 #include "store/vouched_store.hpp"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace fireflysail
 {
 
+namespace
+{
+
+/// Reported changes that are told apart.
+constexpr std::size_t max_reported = 64;
+
+} // namespace
+
 copy_vouching::copy_vouching(const clock& time, const vouching_options& options)
     : time{time}
     , options{options}
@@ -16,11 +25,33 @@
     const absl::MutexLock lock{&this->mutex};
     const time_point now = this->time.now();
     this->reported_at = now;
-    if (newest_change > this->newest)
+    const bool is_new =
+        this->reported.empty() || newest_change > this->reported.back().newest;
+    if (!is_new)
+    {
+        return;
+    }
+    if (this->reported.size() == max_reported)
+    {
+        // The last one stands for all newer ones, with its own age.
+        this->reported.back().newest = newest_change;
+        return;
+    }
+    this->reported.push_back({newest_change, now});
+}
+
+const copy_vouching::reported_change*
+copy_vouching::first_unseen(revision position)
+{
+    // The newest one stays, as a peer reports it again and again.
+    while (this->reported.size() > 1 &&
+           this->reported.front().newest <= position)
     {
-        this->newest = newest_change;
-        this->newest_since = now;
+        this->reported.pop_front();
     }
+    const bool is_unseen =
+        !this->reported.empty() && this->reported.front().newest > position;
+    return is_unseen ? &this->reported.front() : nullptr;
 }
 
 bool copy_vouching::is_vouched(time_point now) const
@@ -33,8 +64,8 @@
 {
     const absl::MutexLock lock{&this->mutex};
     const time_point now = this->time.now();
-    if (position < this->newest &&
-        now - this->newest_since >= this->options.max_lag)
+    const reported_change* const unseen = this->first_unseen(position);
+    if (unseen != nullptr && now - unseen->since >= this->options.max_lag)
     {
         this->distrusted_until = now + this->options.distrust;
     }
@@ -45,8 +76,9 @@
 {
     const absl::MutexLock lock{&this->mutex};
     const time_point now = this->time.now();
-    if (position < this->newest &&
-        now - std::max(this->newest_since, since) >= this->options.patience)
+    const reported_change* const unseen = this->first_unseen(position);
+    if (unseen != nullptr &&
+        now - std::max(unseen->since, since) >= this->options.patience)
     {
         this->distrusted_until = now + this->options.distrust;
     }
--- a/source/store/vouched_store.hpp
+++ b/source/store/vouched_store.hpp
@@ -5,6 +5,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -45,14 +46,25 @@
     bool may_continue(revision position, time_point since);
 
 private:
+    /// What a peer has read, and when this instance was told.
+    struct reported_change
+    {
+        revision newest;
+        time_point since;
+    };
+
     bool is_vouched(time_point now) const ABSL_SHARED_LOCKS_REQUIRED(mutex);
+    /// The first reported change that is not seen at `position`.
+    const reported_change* first_unseen(revision position)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const clock& time;
     const vouching_options options;
     absl::Mutex mutex;
     std::optional<time_point> reported_at ABSL_GUARDED_BY(mutex);
-    revision newest ABSL_GUARDED_BY(mutex);
-    time_point newest_since ABSL_GUARDED_BY(mutex);
+    /// In order, from the first that a watch has not reached. A copy lags by
+    /// the age of that one, however many newer changes there are.
+    std::deque<reported_change> reported ABSL_GUARDED_BY(mutex);
     time_point distrusted_until ABSL_GUARDED_BY(mutex);
 };
 
--- a/unit_tests/store/vouched_store_test.cpp
+++ b/unit_tests/store/vouched_store_test.cpp
@@ -136,6 +136,47 @@
     CHECK_FALSE(this->vouching.may_use_copy(revision{19}));
 }
 
+// Guards against withdrawn keys that stay in use during a storm of
+// configurations.
+TEST_CASE_METHOD(
+    vouching_fixture, "a copy that lags is given up while changes come fast")
+{
+    const duration gap = GENERATE_COPY(
+        duration{1ms},
+        duration{50ms},
+        duration{330ms},
+        this->options.patience - 1ms);
+    const bool is_one_watch = GENERATE(false, true);
+    const time_point first = this->time.now();
+    const time_point end = first + 10 * this->options.max_lag;
+    revision newest{20};
+    const auto is_used = [&]
+    {
+        return is_one_watch ? this->vouching.may_continue(revision{19}, first)
+                            : this->vouching.may_use_copy(revision{19});
+    };
+    this->vouching.on_report(newest);
+    while (is_used() && this->time.now() < end)
+    {
+        this->time.advance(gap);
+        newest = newest.next();
+        this->vouching.on_report(newest);
+    }
+    CHECK(this->time.now() - first <= this->options.max_lag + gap);
+}
+
+TEST_CASE_METHOD(
+    vouching_fixture, "a copy that follows is used while changes come fast")
+{
+    for (std::uint64_t change = 20; change < 200; ++change)
+    {
+        this->vouching.on_report(revision{change});
+        this->time.advance(50ms);
+        // Always behind, but by less than the time allowed.
+        CHECK(this->vouching.may_use_copy(revision{change - 10}));
+    }
+}
+
 TEST_CASE_METHOD(
     store_fixture, "a watch reads the copy while it is vouched for")
 {
