Store: a view of the store is confirmed by the store itself

A watch of 15 s with a silent connection looks like one without changes. What showed it were short watches of a copy, which may be seconds old.

view_freshness replaces copy_vouching. A view counts as confirmed when the store answers a read of it. The first instance by rank watches the store for half of the bound at a time and reports each answer, with its age and a digest of its views. The others wait long while such reports arrive and their views hold what is reported; a watch that is behind a report, or that nobody confirms for 0.9 of the bound, is ended and followed by a list on a new connection. Whoever hears nobody confirms its own view. The checks run on the traffic thread, as calls to the store hold up that of the duties.

--- a/source/control/instance_registry.cpp
+++ b/source/control/instance_registry.cpp
@@ -45,6 +45,11 @@
         .dump();
 }
 
+std::uint64_t weight_of(const instance_id& id)
+{
+    return rendezvous_weight("store", id.str());
+}
+
 std::optional<peer_instance> decode_peer(const stored_object& object)
 {
     std::vector<mistake> mistakes;
@@ -169,21 +174,20 @@
     }
 }
 
-bool instance_registry::is_reader(std::size_t count) const
+std::size_t instance_registry::rank() const
 {
-    const auto weight_of = [](const instance_id& id)
-    {
-        return rendezvous_weight("store", id.str());
-    };
     const auto known = this->known_peers.load();
-    const auto own = weight_of(this->self.id);
-    const auto before = std::ranges::count_if(
+    return static_cast<std::size_t>(std::ranges::count_if(
         *known,
-        [&](const peer_instance& peer)
+        [this](const peer_instance& peer)
         {
-            return weight_of(peer.id) > own;
-        });
-    return static_cast<std::size_t>(before) < count;
+            return this->is_outranked_by(peer.id);
+        }));
+}
+
+bool instance_registry::is_outranked_by(const instance_id& peer) const
+{
+    return weight_of(peer) > weight_of(this->self.id);
 }
 
 bool instance_registry::has_peer(
--- a/source/control/instance_registry.hpp
+++ b/source/control/instance_registry.hpp
@@ -51,10 +51,12 @@
     /// Returns the other registered instances; some may have stopped.
     std::shared_ptr<const std::vector<peer_instance>> peers() const;
 
-    /// Returns true if this instance is among the `count` of all registered
-    /// ones that read the store for the others. All instances choose the same;
-    /// before the first count each is one of them.
-    bool is_reader(std::size_t count) const;
+    /// Returns the number of registered peers that come before this instance in
+    /// an order that all instances agree on; zero before the first count.
+    std::size_t rank() const;
+
+    /// Returns true if the peer comes before this instance in that order.
+    bool is_outranked_by(const instance_id& peer) const;
 
     /// Returns true if a peer with this id is registered at the host.
     bool has_peer(const instance_id& id, std::string_view host) const;
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -53,12 +53,11 @@
 /// store sends them takes most of a second.
 constexpr duration longest_first_read = 3s;
 
-/// Instances that read the store itself and tell the others how far. A few, so
-/// that the loss of some of them costs the others nothing.
-constexpr std::size_t store_readers = 6;
-
 /// Progress is told at least this often, and at once when it grows.
-constexpr duration progress_interval = 500ms;
+constexpr duration progress_interval = 300ms;
+
+/// Watches are looked through this often.
+constexpr duration watch_check_interval = 250ms;
 
 /// Announcements after the start: one may be lost.
 constexpr int max_announcements = 2;
@@ -67,15 +66,14 @@
 /// prompts.
 constexpr std::size_t repeated_to = 3;
 
-/// What was told counts for this long: three tellings.
-constexpr duration progress_lifetime = progress_interval * 3 + 100ms;
+/// What a leader told counts for this long: three tellings.
+constexpr duration leader_lifetime = 1600ms;
 
 store_watcher_options watch_options(const service_bounds& bounds)
 {
     store_watcher_options options;
     options.list_time = 2s;
-    // Each watch is a call that is paid for; what one hides whose connection
-    // went silent shows in the watch that may lag.
+    // The freshness of the view asks for shorter ones where it must.
     options.watch_time = 15s;
     options.list_after_failure = true;
     options.watch_interval = bounds.drain / watch_interval_divisor;
@@ -85,11 +83,17 @@
     return options;
 }
 
-vouching_options vouching(const service_bounds& bounds)
+/// A view that no instance confirms any more is read anew before a change in it
+/// is due to be in force.
+freshness_options freshness(const service_bounds& bounds)
 {
-    vouching_options options;
-    options.report_lifetime = progress_lifetime;
-    options.max_lag = watch_options(bounds).watch_interval + 300ms;
+    const duration bound = std::min(bounds.drain, bounds.config_in_force);
+    const store_watcher_options watch = watch_options(bounds);
+    freshness_options options;
+    options.confirm_interval = bound / 2;
+    options.longest_watch = watch.watch_time;
+    options.lifetime = bound * 9 / 10;
+    options.max_lag = watch.watch_interval + 300ms;
     return options;
 }
 
@@ -153,20 +157,31 @@
               this->pipelines.refresh();
               this->duty.wake();
           }}
-    , config_vouching{this->time, vouching(this->settings.bounds)}
-    , servers_vouching{this->time, vouching(this->settings.bounds)}
+    , config_freshness{this->time, freshness(this->settings.bounds)}
+    , servers_freshness{this->time, freshness(this->settings.bounds)}
     , config_source{
           this->adapter.objects,
           this->adapter.lagging_watches,
-          this->config_vouching,
+          this->config_freshness,
           this->time}
     , servers_source{
           this->adapter.objects,
           this->adapter.lagging_watches,
-          this->servers_vouching,
+          this->servers_freshness,
           this->time}
-    , config_progress{this->traffic.config_consumer().kinds()}
-    , servers_progress{this->traffic.servers_consumer().kinds()}
+    , config_progress{
+          this->traffic.config_consumer().kinds(),
+          [this](const view_position& view)
+          {
+              this->on_view(this->config_freshness, this->config_source, view);
+          }}
+    , servers_progress{
+          this->traffic.servers_consumer().kinds(),
+          [this](const view_position& view)
+          {
+              this->on_view(
+                  this->servers_freshness, this->servers_source, view);
+          }}
     , config_watch{
           this->config_source,
           {&this->traffic.config_consumer(), &this->config_progress},
@@ -241,8 +256,6 @@
           [this]
           {
               this->note_store();
-              this->check_watches();
-              this->share_progress();
               this->traffic.expire_servers();
               this->ask_suspects();
               // A store that does not answer must not hold up repairs.
@@ -297,6 +310,7 @@
     , signals{this->io, SIGTERM, SIGINT, SIGHUP}
     , drain_timer{this->io}
     , upkeep_timer{this->io}
+    , watch_timer{this->io}
 {
 }
 
@@ -332,6 +346,7 @@
     this->duty.start();
     this->next_reload = this->time.now() + reload_interval;
     this->keep_up();
+    this->supervise_watches();
     log::event(
         log::level::info,
         log::channel::main,
@@ -374,6 +389,9 @@
     {
         set_instances(this->relay, this->census.count());
     }
+    const std::size_t rank = this->census.rank();
+    this->config_freshness.set_rank(rank);
+    this->servers_freshness.set_rank(rank);
     this->update_rate_limits();
     this->repeat_crash_news();
     this->upkeep_timer.expires_after(upkeep_interval);
@@ -392,65 +410,119 @@
     return this->servers_bell_watch.status();
 }
 
+void relay_process::on_view(
+    view_freshness& freshness,
+    const vouched_store& source,
+    const view_position& view)
+{
+    freshness.on_view(view);
+    if (source.has_read_store())
+    {
+        freshness.on_confirmed();
+    }
+    asio::post(
+        this->io,
+        [this]
+        {
+            this->share_progress();
+        });
+}
+
+void relay_process::supervise_watches()
+{
+    this->check_watches();
+    this->share_progress();
+    this->watch_timer.expires_after(watch_check_interval);
+    this->watch_timer.async_wait(
+        [this](io_error error)
+        {
+            if (!error)
+            {
+                this->supervise_watches();
+            }
+        });
+}
+
 void relay_process::check_watches()
 {
-    const bool overlooked =
-        this->servers_bell.is_overlooked(this->servers_watch.status()) ||
-        this->config_bell.is_overlooked(this->config_watch.status());
-    if (overlooked)
+    const auto log_end = [this](std::string_view reason)
     {
+        ++this->watches_ended;
         log::event(
             log::level::warning,
             log::channel::store,
-            "watch_overlooked_changes",
-            {{"servers_revision",
+            "watch_ended",
+            {{"reason", reason},
+             {"servers_revision",
               this->servers_watch.status().position.value()},
              {"config_revision",
               this->config_watch.status().position.value()}});
+    };
+    const bool overlooked =
+        this->servers_bell.is_overlooked(this->servers_watch.status()) ||
+        this->config_bell.is_overlooked(this->config_watch.status());
+    if (overlooked)
+    {
+        log_end("copy_ahead");
         this->config_source.interrupt_watches();
         this->servers_source.interrupt_watches();
     }
-    this->config_source.interrupt_if_stale();
-    this->servers_source.interrupt_if_stale();
+    for (vouched_store* const source :
+         {&this->config_source, &this->servers_source})
+    {
+        if (const auto defect = source->interrupt_if_defective())
+        {
+            log_end(
+                *defect == watch_defect::overlooked_change ? "peer_ahead"
+                                                           : "unconfirmed");
+        }
+    }
 }
 
-void relay_process::share_progress()
+store_progress relay_process::current_progress() const
 {
-    const time_point now = this->time.now();
-    const bool reads_for_others = this->census.is_reader(store_readers) &&
-                                  !this->config_watch.status().failing_since &&
-                                  !this->servers_watch.status().failing_since &&
-                                  this->traffic.is_initialized();
     store_progress reached;
     reached.from = this->settings.self;
-    if (reads_for_others)
+    reached.leads = this->duty.holds_lease();
+    const bool confirms =
+        this->config_freshness.confirms() || this->servers_freshness.confirms();
+    const bool is_reader = this->census.rank() < freshness_options{}.readers;
+    if (!this->traffic.is_initialized() || !(confirms || is_reader))
     {
-        reached.config = this->config_progress.newest_change();
-        reached.servers = this->servers_progress.newest_change();
+        return reached;
     }
-    reached.leads = this->duty.holds_lease();
+    reached.config = this->config_progress.position();
+    reached.servers = this->servers_progress.position();
+    const auto config_at = this->config_freshness.confirmed_at();
+    const auto servers_at = this->servers_freshness.confirmed_at();
+    if (confirms && config_at && servers_at)
+    {
+        reached.age = this->time.now() - std::min(*config_at, *servers_at);
+    }
+    return reached;
+}
+
+void relay_process::share_progress()
+{
+    const time_point now = this->time.now();
+    const store_progress reached = this->current_progress();
+    const bool has_grown = reached.config != this->shared_progress.config ||
+                           reached.servers != this->shared_progress.servers ||
+                           reached.leads != this->shared_progress.leads;
     const bool is_due =
-        now >= this->next_progress || reached != this->shared_progress;
-    const bool concerns_others =
-        (reads_for_others && this->census.count() > store_readers) ||
-        reached.leads;
-    if (!is_due || !concerns_others)
+        (reached.age || reached.leads) && now >= this->next_progress;
+    if (!has_grown && !is_due)
     {
         return;
     }
     this->next_progress = now + progress_interval;
     this->shared_progress = reached;
-    asio::post(
-        this->io,
-        [this, reached]
-        {
-            this->send_to_peers(reached);
-        });
+    this->send_to_peers(reached);
 }
 
 bool relay_process::hears_leader() const
 {
-    return this->time.now() - this->leader_heard_at.load() < progress_lifetime;
+    return this->time.now() - this->leader_heard_at.load() < leader_lifetime;
 }
 
 void relay_process::on_peer_message(const peer_message& message)
@@ -466,13 +538,11 @@
         {
             this->leader_heard_at = this->time.now();
         }
-        // An instance that reads for the others needs nobody to vouch.
-        const bool vouches = progress->servers != revision{};
-        if (vouches && !this->census.is_reader(store_readers))
-        {
-            this->config_vouching.on_report(progress->config);
-            this->servers_vouching.on_report(progress->servers);
-        }
+        const auto age = this->census.is_outranked_by(progress->from)
+                             ? progress->age
+                             : std::nullopt;
+        this->config_freshness.on_report(progress->config, age);
+        this->servers_freshness.on_report(progress->servers, age);
         return;
     }
     if (const auto* crash = std::get_if<crash_notice>(&message))
@@ -736,6 +806,12 @@
     add("prompt_quarantines_total", crashes.quarantines);
     add("prompt_trials_total", crashes.trials);
     const auto store = this->store_status();
+    add("confirms_views", this->config_freshness.confirms() ? 1 : 0);
+    add("config_view_age_seconds",
+        age_of(this->config_freshness.confirmed_at()));
+    add("servers_view_age_seconds",
+        age_of(this->servers_freshness.confirmed_at()));
+    add("watches_ended_total", this->watches_ended);
     add("store_failing_seconds", age_of(store.failing_since));
     add("store_failures_total", store.counts.failures);
     add("store_lists_total", store.counts.lists);
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -9,6 +9,7 @@
 #include "notices/notice_channel.hpp"
 #include "relay/relay_server.hpp"
 #include "settings/node_settings.hpp"
+#include "store/view_freshness.hpp"
 #include "store/vouched_store.hpp"
 #include "store/watch_doorbell.hpp"
 #include "store/watch_hub.hpp"
@@ -18,6 +19,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <random>
@@ -102,13 +104,24 @@
     /// Of the watch that looks soonest whether the store answers.
     watch_hub_status store_status() const;
 
-    /// Starts the long watches anew when they have overlooked changes.
+    /// A watch has passed on an answer. The hub's thread.
+    void on_view(
+        view_freshness& freshness,
+        const vouched_store& source,
+        const view_position& view);
+
+    /// Ends the watches that are of no use any more. Runs on the traffic
+    /// thread: calls to the store hold up that of the duties.
+    void supervise_watches();
     void check_watches();
 
-    /// Tells the other instances how far this one has read the store, if it is
-    /// one of those that read it for them, and whether it leads.
+    /// Tells the other instances how far this one has read the store, if it
+    /// reads it for them, and whether it leads. Traffic thread.
     void share_progress();
 
+    /// What this instance has to tell of its views.
+    store_progress current_progress() const;
+
     /// Whether another instance said lately that it leads.
     bool hears_leader() const;
 
@@ -126,8 +139,8 @@
     blackboard board;
     pipeline_router pipelines;
     traffic_controller traffic;
-    copy_vouching config_vouching;
-    copy_vouching servers_vouching;
+    view_freshness config_freshness;
+    view_freshness servers_freshness;
     vouched_store config_source;
     vouched_store servers_source;
     watch_progress config_progress;
@@ -157,16 +170,19 @@
     asio::signal_set signals;
     asio::steady_timer drain_timer;
     asio::steady_timer upkeep_timer;
+    asio::steady_timer watch_timer;
     time_point next_reload{};
     time_point drain_began{};
     bool accepts = true;
     int announcements = 0;
     bool has_all_watches = false;
+    time_point next_progress{};
+    store_progress shared_progress;
+    /// Watches that were ended since they were of no use any more.
+    std::uint64_t watches_ended = 0;
 
     /// Used by the duties' thread alone.
     time_point last_survey{};
-    time_point next_progress{};
-    store_progress shared_progress;
     std::atomic<bool> store_is_lost = false;
     std::atomic<time_point> leader_heard_at{};
 };
--- a/source/notices/notice.hpp
+++ b/source/notices/notice.hpp
@@ -4,7 +4,9 @@
 #include "control/crash_registry.hpp"
 #include "control/engine_prober.hpp"
 #include "routing/server_rate_limits.hpp"
+#include "store/view_freshness.hpp"
 
+#include <optional>
 #include <variant>
 
 namespace fireflysail
@@ -21,15 +23,17 @@
     bool operator==(const notice&) const = default;
 };
 
-/// Tells peers how far an instance has read the store, so that they may read a
-/// copy of it that can be old. See copy_vouching.
+/// Tells peers how far an instance has read the store, so that they need not
+/// read it as often themselves. See view_freshness.
 struct store_progress
 {
     instance_id from;
-    /// Newest change of the configuration and of the servers that it has read
-    /// from the store itself; zero where it reads a copy.
-    revision config;
-    revision servers;
+    /// What its views hold; only read from the store itself.
+    view_position config;
+    view_position servers;
+    /// Time since the store itself last confirmed both views; none where that
+    /// was long ago.
+    std::optional<duration> age;
     /// Whether it holds the lease of the layout.
     bool leads = false;
 
--- a/source/notices/notice_codec.cpp
+++ b/source/notices/notice_codec.cpp
@@ -155,11 +155,18 @@
 
     nlohmann::json operator()(const store_progress& progress) const
     {
-        return {
+        nlohmann::json fields{
             {"from", progress.from.str()},
-            {"config_revision", progress.config.value()},
-            {"servers_revision", progress.servers.value()},
+            {"config_revision", progress.config.newest_change.value()},
+            {"config_digest", progress.config.digest},
+            {"servers_revision", progress.servers.newest_change.value()},
+            {"servers_digest", progress.servers.digest},
             {"leads", progress.leads}};
+        if (progress.age)
+        {
+            fields["confirmed_ms"] = milliseconds_of(*progress.age);
+        }
+        return fields;
     }
 };
 
@@ -333,10 +340,16 @@
     constexpr auto most = std::numeric_limits<std::uint64_t>::max();
     store_progress progress;
     progress.from = instance_id{fields.string("from")};
-    progress.config =
-        revision{fields.unsigned_integer("config_revision", most)};
-    progress.servers =
-        revision{fields.unsigned_integer("servers_revision", most)};
+    progress.config = {
+        revision{fields.unsigned_integer("config_revision", most)},
+        fields.unsigned_integer("config_digest", most)};
+    progress.servers = {
+        revision{fields.unsigned_integer("servers_revision", most)},
+        fields.unsigned_integer("servers_digest", most)};
+    if (fields.has("confirmed_ms"))
+    {
+        progress.age = decode_milliseconds(fields, "confirmed_ms");
+    }
     progress.leads = fields.boolean("leads");
     return progress;
 }
--- /dev/null
+++ b/source/store/view_freshness.cpp
@@ -0,0 +1,150 @@
+#include "store/view_freshness.hpp"
+
+#include <algorithm>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+/// Reported views that are told apart.
+constexpr std::size_t max_reported = 64;
+
+/// Instances that take over one after the other; all others do together.
+constexpr std::size_t max_takeover_steps = 6;
+
+} // namespace
+
+view_freshness::view_freshness(
+    const clock& time, const freshness_options& options)
+    : time{time}
+    , options{options}
+{
+}
+
+void view_freshness::set_rank(std::size_t new_rank)
+{
+    const absl::MutexLock lock{&this->mutex};
+    this->rank = new_rank;
+}
+
+void view_freshness::on_confirmed()
+{
+    const absl::MutexLock lock{&this->mutex};
+    this->own_confirmation = this->time.now();
+}
+
+void view_freshness::on_view(const view_position& view)
+{
+    const absl::MutexLock lock{&this->mutex};
+    this->own = view;
+}
+
+void view_freshness::on_report(
+    const view_position& of_peer, std::optional<duration> age)
+{
+    const absl::MutexLock lock{&this->mutex};
+    const time_point now = this->time.now();
+    if (age)
+    {
+        this->peer_confirmation =
+            std::max(this->peer_confirmation.value_or(now - *age), now - *age);
+    }
+    if (of_peer.newest_change <= this->newest_reported)
+    {
+        return;
+    }
+    this->newest_reported = of_peer.newest_change;
+    if (this->ahead.size() == max_reported)
+    {
+        // The last one stands for all newer ones, with its own age.
+        this->ahead.back().view = of_peer;
+        return;
+    }
+    this->ahead.push_back({of_peer, now});
+}
+
+watch_plan view_freshness::plan(revision position)
+{
+    const absl::MutexLock lock{&this->mutex};
+    const time_point now = this->time.now();
+    const auto behind = this->behind_since(position);
+    if (behind && now - *behind >= this->options.max_lag)
+    {
+        this->distrusted_until = now + this->options.distrust;
+    }
+    if (!this->is_confirmed_by_peer(now))
+    {
+        return {watch_plan::source::store, this->options.confirm_interval};
+    }
+    const bool may_read_copy =
+        this->rank >= this->options.readers && now >= this->distrusted_until;
+    return {
+        may_read_copy ? watch_plan::source::copy : watch_plan::source::store,
+        this->options.longest_watch};
+}
+
+std::optional<watch_defect>
+view_freshness::find_defect(const running_watch& watch)
+{
+    const absl::MutexLock lock{&this->mutex};
+    const time_point now = this->time.now();
+    const bool is_copy = watch.plan.reads == watch_plan::source::copy;
+    const duration patience =
+        is_copy ? this->options.copy_patience : this->options.store_patience;
+    const auto behind = this->behind_since(watch.from);
+    if (behind && now - std::max(*behind, watch.since) >= patience)
+    {
+        if (is_copy)
+        {
+            this->distrusted_until = now + this->options.distrust;
+        }
+        return watch_defect::overlooked_change;
+    }
+    const bool is_long = watch.plan.longest > this->options.confirm_interval;
+    const bool may_wait =
+        !is_copy && now - watch.since < this->options.confirm_interval;
+    if (is_long && !may_wait && !this->is_confirmed_by_peer(now))
+    {
+        return watch_defect::unconfirmed;
+    }
+    return std::nullopt;
+}
+
+std::optional<time_point> view_freshness::confirmed_at() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->own_confirmation;
+}
+
+bool view_freshness::confirms() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return !this->is_confirmed_by_peer(this->time.now());
+}
+
+bool view_freshness::is_confirmed_by_peer(time_point now) const
+{
+    const auto steps = std::min(this->rank, max_takeover_steps);
+    return this->peer_confirmation &&
+           now - *this->peer_confirmation <
+               this->options.lifetime + steps * this->options.takeover_step;
+}
+
+std::optional<time_point> view_freshness::behind_since(revision position)
+{
+    const auto is_reached = [&](const reported_view& reported)
+    {
+        return reported.view.newest_change <= position ||
+               (this->own && reported.view.digest == this->own->digest);
+    };
+    // What comes before a view that is reached is reached as well.
+    const auto last = std::ranges::find_if(
+        this->ahead.rbegin(), this->ahead.rend(), is_reached);
+    this->ahead.erase(this->ahead.begin(), last.base());
+    return this->ahead.empty() ? std::nullopt
+                               : std::optional{this->ahead.front().since};
+}
+
+} // namespace fireflysail
--- a/source/store/vouched_store.cpp
+++ b/source/store/vouched_store.cpp
@@ -1,7 +1,6 @@
 #include "store/vouched_store.hpp"
 
 #include <algorithm>
-#include <cstddef>
 
 namespace fireflysail
 {
@@ -9,87 +8,16 @@
 namespace
 {
 
-/// Reported changes that are told apart.
-constexpr std::size_t max_reported = 64;
+/// Time for the answer of a watch whose wait is over.
+constexpr std::chrono::milliseconds answer_margin{500};
 
 } // namespace
 
-copy_vouching::copy_vouching(const clock& time, const vouching_options& options)
-    : time{time}
-    , options{options}
-{
-}
-
-void copy_vouching::on_report(revision newest_change)
-{
-    const absl::MutexLock lock{&this->mutex};
-    const time_point now = this->time.now();
-    this->reported_at = now;
-    const bool is_new =
-        this->reported.empty() || newest_change > this->reported.back().newest;
-    if (!is_new)
-    {
-        return;
-    }
-    if (this->reported.size() == max_reported)
-    {
-        // The last one stands for all newer ones, with its own age.
-        this->reported.back().newest = newest_change;
-        return;
-    }
-    this->reported.push_back({newest_change, now});
-}
-
-const copy_vouching::reported_change*
-copy_vouching::first_unseen(revision position)
-{
-    // The newest one stays, as a peer reports it again and again.
-    while (this->reported.size() > 1 &&
-           this->reported.front().newest <= position)
-    {
-        this->reported.pop_front();
-    }
-    const bool is_unseen =
-        !this->reported.empty() && this->reported.front().newest > position;
-    return is_unseen ? &this->reported.front() : nullptr;
-}
-
-bool copy_vouching::is_vouched(time_point now) const
-{
-    return now >= this->distrusted_until && this->reported_at &&
-           now - *this->reported_at < this->options.report_lifetime;
-}
-
-bool copy_vouching::may_use_copy(revision position)
-{
-    const absl::MutexLock lock{&this->mutex};
-    const time_point now = this->time.now();
-    const reported_change* const unseen = this->first_unseen(position);
-    if (unseen != nullptr && now - unseen->since >= this->options.max_lag)
-    {
-        this->distrusted_until = now + this->options.distrust;
-    }
-    return this->is_vouched(now);
-}
-
-bool copy_vouching::may_continue(revision position, time_point since)
-{
-    const absl::MutexLock lock{&this->mutex};
-    const time_point now = this->time.now();
-    const reported_change* const unseen = this->first_unseen(position);
-    if (unseen != nullptr &&
-        now - std::max(unseen->since, since) >= this->options.patience)
-    {
-        this->distrusted_until = now + this->options.distrust;
-    }
-    return this->is_vouched(now);
-}
-
 vouched_store::vouched_store(
-    store& current, store& copy, copy_vouching& vouching, const clock& time)
+    store& current, store& copy, view_freshness& freshness, const clock& time)
     : current{current}
     , copy{copy}
-    , vouching{vouching}
+    , freshness{freshness}
     , time{time}
 {
 }
@@ -103,6 +31,7 @@
 result<store_snapshot>
 vouched_store::list(const std::vector<std::string>& kinds, time_point deadline)
 {
+    this->read_store = true;
     return this->current.list(kinds, deadline);
 }
 
@@ -130,20 +59,23 @@
 result<watch_batch> vouched_store::watch(
     const std::vector<std::string>& kinds, revision from, time_point deadline)
 {
-    if (!this->vouching.may_use_copy(from))
-    {
-        return this->current.watch(kinds, from, deadline);
-    }
+    const running_watch begun{
+        this->freshness.plan(from), from, this->time.now()};
     {
         const absl::MutexLock lock{&this->mutex};
-        this->watched = copy_watch{from, this->time.now()};
+        this->running = begun;
     }
-    auto batch = this->copy.watch(kinds, from, deadline);
+    this->read_store = begun.plan.reads == watch_plan::source::store;
+    store& source = this->read_store ? this->current : this->copy;
+    auto batch = source.watch(
+        kinds,
+        from,
+        std::min(deadline, begun.since + begun.plan.longest + answer_margin));
     {
         const absl::MutexLock lock{&this->mutex};
-        this->watched.reset();
+        this->running.reset();
     }
-    if (batch && batch.value().next < from)
+    if (!this->read_store && batch && batch.value().next < from)
     {
         // The copy has not come as far as what was read before.
         return watch_batch{from, {}};
@@ -157,14 +89,24 @@
     this->copy.interrupt_watches();
 }
 
-void vouched_store::interrupt_if_stale()
+std::optional<watch_defect> vouched_store::interrupt_if_defective()
 {
     const absl::MutexLock lock{&this->mutex};
-    if (this->watched &&
-        !this->vouching.may_continue(this->watched->from, this->watched->since))
+    const auto defect = this->running
+                            ? this->freshness.find_defect(*this->running)
+                            : std::nullopt;
+    if (defect)
     {
-        this->copy.interrupt_watches();
+        const bool is_copy =
+            this->running->plan.reads == watch_plan::source::copy;
+        (is_copy ? this->copy : this->current).interrupt_watches();
     }
+    return defect;
+}
+
+bool vouched_store::has_read_store() const
+{
+    return this->read_store;
 }
 
 } // namespace fireflysail
--- a/unit_tests/control/instance_registry_test.cpp
+++ b/unit_tests/control/instance_registry_test.cpp
@@ -5,7 +5,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -61,7 +63,7 @@
     CHECK(*first.peers() == std::vector{moved});
 }
 
-TEST_CASE("all instances agree on the few that read the store for the others")
+TEST_CASE("all instances agree on their order")
 {
     manual_clock time;
     store_model objects{time};
@@ -73,7 +75,7 @@
         instances.push_back(
             std::make_unique<instance_registry>(self, objects, objects, time));
         // Until the others are known each reads for itself.
-        CHECK(instances.back()->is_reader(6));
+        CHECK(instances.back()->rank() == 0);
         instances.back()->step();
     }
     time.advance(3s);
@@ -81,13 +83,26 @@
     {
         each->step();
     }
+    std::vector<std::size_t> ranks;
+    std::ranges::transform(
+        instances,
+        std::back_inserter(ranks),
+        [](const auto& each)
+        {
+            return each->rank();
+        });
+    std::vector<std::size_t> expected(instances.size());
+    std::iota(expected.begin(), expected.end(), 0U);
+    CHECK(std::ranges::is_permutation(ranks, expected));
+    const auto first = std::ranges::find(ranks, 0U) - ranks.begin();
+    const instance_id id{"entry-" + std::to_string(first)};
     CHECK(
         std::ranges::count_if(
             instances,
-            [](const auto& each)
+            [&id](const auto& each)
             {
-                return each->is_reader(6);
-            }) == 6);
+                return each->is_outranked_by(id);
+            }) == 19);
 }
 
 TEST_CASE("a count that is older than the last one is left out")
--- a/unit_tests/notices/notice_codec_test.cpp
+++ b/unit_tests/notices/notice_codec_test.cpp
@@ -17,11 +17,23 @@
 
 TEST_CASE("progress in the store is read as it was written")
 {
-    const store_progress told{instance_id{"entry-1"}, revision{7}, revision{9}};
+    store_progress told{
+        instance_id{"entry-1"},
+        {revision{7}, ~0ULL},
+        {revision{9}, 11},
+        std::nullopt,
+        true};
+    CHECK(decode_message(encode(told)) == peer_message{told});
+    told.age = std::chrono::milliseconds{900};
     CHECK(decode_message(encode(told)) == peer_message{told});
     CHECK_FALSE(decode_message(R"({"from":"a","config_revision":7})"));
     CHECK_FALSE(decode_message(
-        R"({"from":"a","config_revision":-7,"servers_revision":9})"));
+        R"({"from":"a","config_revision":-7,"servers_revision":9,
+            "config_digest":1,"servers_digest":2,"leads":false})"));
+    CHECK_FALSE(decode_message(
+        R"({"from":"a","config_revision":7,"servers_revision":9,
+            "config_digest":1,"servers_digest":2,"leads":false,
+            "confirmed_ms":-1})"));
 }
 
 TEST_CASE("news of requests that crash engines are read as they were written")
--- /dev/null
+++ b/unit_tests/store/view_freshness_test.cpp
@@ -0,0 +1,255 @@
+#include "store/view_freshness.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// The view of an instance of low rank, which may read the copy.
+struct fixture
+{
+    fixture()
+    {
+        this->freshness.set_rank(this->options.readers);
+    }
+
+    void report(std::uint64_t newest, std::uint64_t digest = 0)
+    {
+        this->freshness.on_report(
+            {revision{newest}, digest == 0 ? newest : digest}, 0ms);
+    }
+
+    watch_plan::source reads(std::uint64_t position)
+    {
+        return this->freshness.plan(revision{position}).reads;
+    }
+
+    bool reads_copy(std::uint64_t position)
+    {
+        return this->reads(position) == watch_plan::source::copy;
+    }
+
+    std::optional<watch_defect> defect_of(std::uint64_t from, time_point since)
+    {
+        return this->freshness.find_defect(
+            {this->freshness.plan(revision{from}), revision{from}, since});
+    }
+
+    duration peer_lifetime() const
+    {
+        return this->options.lifetime + 6 * this->options.takeover_step;
+    }
+
+    manual_clock time;
+    freshness_options options;
+    view_freshness freshness{this->time, this->options};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(fixture, "an instance without peers confirms its own view")
+{
+    const watch_plan alone = this->freshness.plan(revision{10});
+    CHECK(alone.reads == watch_plan::source::store);
+    CHECK(alone.longest == this->options.confirm_interval);
+    CHECK(this->freshness.confirms());
+    CHECK_FALSE(this->freshness.confirmed_at());
+    this->freshness.on_confirmed();
+    CHECK(this->freshness.confirmed_at() == this->time.now());
+}
+
+TEST_CASE_METHOD(fixture, "watches are long while a peer confirms the view")
+{
+    this->report(10);
+    CHECK_FALSE(this->freshness.confirms());
+    CHECK(
+        this->freshness.plan(revision{10}).longest ==
+        this->options.longest_watch);
+    SECTION("until its word is too old")
+    {
+        this->time.advance(this->peer_lifetime());
+        CHECK(this->freshness.confirms());
+        CHECK(
+            this->freshness.plan(revision{10}).longest ==
+            this->options.confirm_interval);
+    }
+    SECTION("and its word is as old as its own last read")
+    {
+        this->time.advance(this->peer_lifetime());
+        this->freshness.on_report(
+            {revision{10}, 10}, this->peer_lifetime() - 1ms);
+        CHECK_FALSE(this->freshness.confirms());
+        this->time.advance(1ms);
+        CHECK(this->freshness.confirms());
+    }
+    SECTION("and a peer that comes later in the order does not count")
+    {
+        this->time.advance(this->peer_lifetime());
+        this->freshness.on_report({revision{10}, 10}, std::nullopt);
+        CHECK(this->freshness.confirms());
+    }
+}
+
+TEST_CASE_METHOD(fixture, "instances take over one after the other")
+{
+    this->report(10);
+    this->time.advance(this->options.lifetime);
+    this->freshness.set_rank(0);
+    CHECK(this->freshness.confirms());
+    this->freshness.set_rank(1);
+    CHECK_FALSE(this->freshness.confirms());
+    this->time.advance(this->options.takeover_step);
+    CHECK(this->freshness.confirms());
+}
+
+TEST_CASE_METHOD(fixture, "only instances of a low rank read the copy")
+{
+    this->report(10);
+    CHECK(this->reads_copy(10));
+    this->freshness.set_rank(this->options.readers - 1);
+    CHECK_FALSE(this->reads_copy(10));
+}
+
+TEST_CASE_METHOD(fixture, "a copy is used only while a peer vouches")
+{
+    CHECK_FALSE(this->reads_copy(10));
+    this->report(10);
+    CHECK(this->reads_copy(10));
+    // All readers are lost, or cut off from the store or from here.
+    this->time.advance(this->peer_lifetime());
+    CHECK_FALSE(this->reads_copy(10));
+    this->report(10);
+    CHECK(this->reads_copy(10));
+}
+
+TEST_CASE_METHOD(fixture, "a copy that hides a change for long is not used")
+{
+    // The copies may be seconds behind after the store lost its history: a
+    // withdrawn key must not stay in use until they have caught up.
+    this->report(20);
+    CHECK(this->reads_copy(10));
+    const time_point began = this->time.now();
+    CHECK_FALSE(this->defect_of(10, began));
+    this->time.advance(this->options.copy_patience);
+    CHECK(this->defect_of(10, began) == watch_defect::overlooked_change);
+    SECTION("for a while")
+    {
+        this->time.advance(this->options.distrust - 1ms);
+        this->report(20);
+        CHECK_FALSE(this->reads_copy(20));
+        this->time.advance(1ms);
+        CHECK(this->reads_copy(20));
+    }
+}
+
+TEST_CASE_METHOD(
+    fixture, "a copy that is always behind is given up between watches")
+{
+    this->report(20);
+    this->time.advance(this->options.max_lag - 1ms);
+    this->report(20);
+    CHECK(this->reads_copy(19));
+    this->time.advance(1ms);
+    CHECK_FALSE(this->reads_copy(19));
+}
+
+// Guards against withdrawn keys that stay in use during a storm of
+// configurations.
+TEST_CASE_METHOD(
+    fixture, "a copy that lags is given up while changes come fast")
+{
+    const duration patience = this->options.copy_patience;
+    const duration gap = GENERATE_COPY(
+        duration{1ms}, duration{50ms}, duration{330ms}, patience - 1ms);
+    const bool is_one_watch = GENERATE(false, true);
+    const time_point first = this->time.now();
+    const time_point end = first + 10 * this->options.max_lag;
+    std::uint64_t newest = 20;
+    this->report(newest);
+    const running_watch watch{
+        this->freshness.plan(revision{19}), revision{19}, first};
+    const auto is_used = [&]
+    {
+        return is_one_watch ? !this->freshness.find_defect(watch)
+                            : this->reads_copy(19);
+    };
+    while (is_used() && this->time.now() < end)
+    {
+        this->time.advance(gap);
+        ++newest;
+        this->report(newest);
+    }
+    CHECK(this->time.now() - first <= this->options.max_lag + gap);
+}
+
+TEST_CASE_METHOD(fixture, "a copy that follows is used while changes come fast")
+{
+    for (std::uint64_t change = 20; change < 200; ++change)
+    {
+        this->report(change);
+        this->time.advance(50ms);
+        // Always behind, but by less than the time allowed.
+        CHECK(this->reads_copy(change - 10));
+    }
+}
+
+// Guards against servers that left and are used on, as the connection of the
+// watch went silent.
+TEST_CASE_METHOD(fixture, "a watch of the store that hides a change is ended")
+{
+    this->freshness.set_rank(0);
+    const running_watch watch{
+        this->freshness.plan(revision{10}), revision{10}, this->time.now()};
+    CHECK(watch.plan.reads == watch_plan::source::store);
+    // Any peer may have read it, whatever its rank.
+    this->freshness.on_report({revision{20}, 20}, std::nullopt);
+    this->time.advance(this->options.store_patience - 1ms);
+    CHECK_FALSE(this->freshness.find_defect(watch));
+    this->time.advance(1ms);
+    CHECK(
+        this->freshness.find_defect(watch) == watch_defect::overlooked_change);
+    SECTION("but not one whose view is the same")
+    {
+        // The peer has listed, and does not know when the last change was.
+        this->freshness.on_view({revision{9}, 20});
+        CHECK_FALSE(this->freshness.find_defect(watch));
+    }
+}
+
+TEST_CASE_METHOD(fixture, "a long watch that no peer confirms is ended")
+{
+    this->freshness.set_rank(1);
+    this->report(10);
+    const running_watch watch{
+        this->freshness.plan(revision{10}), revision{10}, this->time.now()};
+    CHECK(watch.plan.longest == this->options.longest_watch);
+    const duration lifetime =
+        this->options.lifetime + this->options.takeover_step;
+    this->time.advance(lifetime - 1ms);
+    CHECK_FALSE(this->freshness.find_defect(watch));
+    this->time.advance(1ms);
+    CHECK(this->freshness.find_defect(watch) == watch_defect::unconfirmed);
+    SECTION("but a watch that ends soon is not")
+    {
+        const running_watch soon{
+            this->freshness.plan(revision{10}), revision{10}, watch.since};
+        CHECK_FALSE(this->freshness.find_defect(soon));
+    }
+}
+
+TEST_CASE_METHOD(fixture, "many changes ahead are held in bounded space")
+{
+    for (std::uint64_t change = 20; change < 100'000; ++change)
+    {
+        this->report(change);
+    }
+    this->time.advance(this->options.max_lag);
+    this->report(100'000);
+    CHECK_FALSE(this->reads_copy(19));
+    this->time.advance(this->options.distrust);
+    this->report(100'001);
+    CHECK(this->reads_copy(100'001));
+}
--- a/unit_tests/store/vouched_store_test.cpp
+++ b/unit_tests/store/vouched_store_test.cpp
@@ -14,13 +14,6 @@
 
 constexpr const char* kind = "servers";
 
-struct vouching_fixture
-{
-    manual_clock time;
-    vouching_options options;
-    copy_vouching vouching{this->time, this->options};
-};
-
 /// A store that counts its watches and answers them with a fixed revision.
 class counting_store final : public store
 {
@@ -54,10 +47,11 @@
         return errc::unavailable;
     }
 
-    result<watch_batch>
-    watch(const std::vector<std::string>&, revision, time_point) override
+    result<watch_batch> watch(
+        const std::vector<std::string>&, revision, time_point deadline) override
     {
         ++this->watches;
+        this->last_deadline = deadline;
         if (this->during_watch)
         {
             this->during_watch();
@@ -72,120 +66,53 @@
 
     revision reached{10};
     std::function<void()> during_watch;
+    time_point last_deadline{};
     int lists = 0;
     int watches = 0;
     int interrupts = 0;
 };
 
-struct store_fixture : vouching_fixture
+struct store_fixture
 {
+    store_fixture()
+    {
+        this->freshness.set_rank(this->options.readers);
+    }
+
+    void report(std::uint64_t newest)
+    {
+        this->freshness.on_report({revision{newest}, newest}, 0ms);
+    }
+
     result<watch_batch> watch(std::uint64_t from)
     {
         return this->both.watch({kind}, revision{from}, this->time.now() + 10s);
     }
 
+    manual_clock time;
+    freshness_options options;
+    view_freshness freshness{this->time, this->options};
     counting_store current;
     counting_store copy;
-    vouched_store both{this->current, this->copy, this->vouching, this->time};
+    vouched_store both{this->current, this->copy, this->freshness, this->time};
 };
 
 } // namespace
 
-TEST_CASE_METHOD(vouching_fixture, "a copy is used only while a peer vouches")
-{
-    CHECK_FALSE(this->vouching.may_use_copy(revision{10}));
-    this->vouching.on_report(revision{10});
-    CHECK(this->vouching.may_use_copy(revision{10}));
-    // All readers are lost, or cut off from the store or from here.
-    this->time.advance(this->options.report_lifetime);
-    CHECK_FALSE(this->vouching.may_use_copy(revision{10}));
-    this->vouching.on_report(revision{10});
-    CHECK(this->vouching.may_use_copy(revision{10}));
-}
-
-TEST_CASE_METHOD(
-    vouching_fixture, "a copy that hides a change for long is not used")
-{
-    // The copies may be seconds behind after the store lost its history: a
-    // withdrawn key must not stay in use until they have caught up.
-    this->vouching.on_report(revision{20});
-    CHECK(this->vouching.may_use_copy(revision{10}));
-    const time_point began = this->time.now();
-    CHECK(this->vouching.may_continue(revision{10}, began));
-    this->time.advance(this->options.patience);
-    CHECK_FALSE(this->vouching.may_continue(revision{10}, began));
-    SECTION("for a while")
-    {
-        this->time.advance(this->options.distrust - 1ms);
-        this->vouching.on_report(revision{20});
-        CHECK_FALSE(this->vouching.may_use_copy(revision{20}));
-        this->time.advance(1ms);
-        CHECK(this->vouching.may_use_copy(revision{20}));
-    }
-}
-
-TEST_CASE_METHOD(
-    vouching_fixture,
-    "a copy that is always behind is given up between watches")
-{
-    this->vouching.on_report(revision{20});
-    this->time.advance(this->options.max_lag - 1ms);
-    this->vouching.on_report(revision{20});
-    CHECK(this->vouching.may_use_copy(revision{19}));
-    this->time.advance(1ms);
-    CHECK_FALSE(this->vouching.may_use_copy(revision{19}));
-}
-
-// Guards against withdrawn keys that stay in use during a storm of
-// configurations.
-TEST_CASE_METHOD(
-    vouching_fixture, "a copy that lags is given up while changes come fast")
-{
-    const duration gap = GENERATE_COPY(
-        duration{1ms},
-        duration{50ms},
-        duration{330ms},
-        this->options.patience - 1ms);
-    const bool is_one_watch = GENERATE(false, true);
-    const time_point first = this->time.now();
-    const time_point end = first + 10 * this->options.max_lag;
-    revision newest{20};
-    const auto is_used = [&]
-    {
-        return is_one_watch ? this->vouching.may_continue(revision{19}, first)
-                            : this->vouching.may_use_copy(revision{19});
-    };
-    this->vouching.on_report(newest);
-    while (is_used() && this->time.now() < end)
-    {
-        this->time.advance(gap);
-        newest = newest.next();
-        this->vouching.on_report(newest);
-    }
-    CHECK(this->time.now() - first <= this->options.max_lag + gap);
-}
-
-TEST_CASE_METHOD(
-    vouching_fixture, "a copy that follows is used while changes come fast")
-{
-    for (std::uint64_t change = 20; change < 200; ++change)
-    {
-        this->vouching.on_report(revision{change});
-        this->time.advance(50ms);
-        // Always behind, but by less than the time allowed.
-        CHECK(this->vouching.may_use_copy(revision{change - 10}));
-    }
-}
-
 TEST_CASE_METHOD(
     store_fixture, "a watch reads the copy while it is vouched for")
 {
     REQUIRE(this->watch(10));
     CHECK(this->current.watches == 1);
-    this->vouching.on_report(revision{10});
+    CHECK(this->both.has_read_store());
+    // Nobody else would find out that its connection went silent.
+    CHECK(this->current.last_deadline < this->time.now() + 2s);
+    this->report(10);
     REQUIRE(this->watch(10));
     CHECK(this->current.watches == 1);
     CHECK(this->copy.watches == 1);
+    CHECK_FALSE(this->both.has_read_store());
+    CHECK(this->copy.last_deadline == this->time.now() + 10s);
     SECTION("and lists always read the store itself")
     {
         REQUIRE(this->both.list({kind}, this->time.now()));
@@ -204,14 +131,14 @@
 TEST_CASE_METHOD(
     store_fixture, "a watch of a copy that proves stale is ended at once")
 {
-    this->vouching.on_report(revision{10});
+    this->report(10);
     this->copy.during_watch = [this]
     {
-        this->both.interrupt_if_stale();
+        this->both.interrupt_if_defective();
         CHECK(this->copy.interrupts == 0);
-        this->vouching.on_report(revision{11});
-        this->time.advance(this->options.patience);
-        this->both.interrupt_if_stale();
+        this->report(11);
+        this->time.advance(this->options.copy_patience);
+        this->both.interrupt_if_defective();
         CHECK(this->copy.interrupts == 1);
     };
     REQUIRE(this->watch(10));
