Relay: connections that a partition has dropped are ended

A connection to an engine, to the store's HTTP interface or to a peer whose other side is gone without a reset looked idle, and was used again until the request on it timed out. The options are checked by silence_limit_test; no run has shown the effect on a real partition.

--- a/source/peer/json_rpc/json_rpc_connection.cpp
+++ b/source/peer/json_rpc/json_rpc_connection.cpp
@@ -210,6 +210,9 @@
         curl_easy_setopt(this->curl, CURLOPT_PROXY, "");
         curl_easy_setopt(this->curl, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(this->curl, CURLOPT_MAXAGE_CONN, reuse_idle_seconds);
+        curl_easy_setopt(this->curl, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(this->curl, CURLOPT_TCP_KEEPIDLE, 1L);
+        curl_easy_setopt(this->curl, CURLOPT_TCP_KEEPINTVL, 1L);
         curl_easy_setopt(this->curl, CURLOPT_TIMEOUT_MS, this->timeout_ms);
         curl_easy_setopt(this->curl, CURLOPT_HTTPHEADER, lines);
         curl_easy_setopt(
--- a/source/store/http_store.cpp
+++ b/source/store/http_store.cpp
@@ -1,5 +1,6 @@
 #include "store/http_store.hpp"
 
+#include "http/silence_limit.hpp"
 #include "store/call_watchdog.hpp"
 #include "store/store_codec.hpp"
 
@@ -240,6 +241,11 @@
             this->options.host, this->options.port);
         fresh->set_keep_alive(true);
         fresh->set_tcp_nodelay(true);
+        fresh->set_socket_options(
+            [](int socket)
+            {
+                limit_silence(socket);
+            });
         fresh->set_follow_location(false);
         // Paths come encoded; the library would encode a second time.
         fresh->set_url_encode(false);
