Relay: a stopping instance sends only what it can see answered

Reported by other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end, also those that may run only once. Here a request whose body arrives slowly, or that waits for a server, could be sent until the very end.

drain_policy: until the balancer has noticed the stop, what may be repeated is served as ever. Otherwise a request is sent only if its answer is due before the process ends. All others are answered 503 at once, which is true, as they have not run; another instance serves them. A stream that has begun goes on.

--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -869,6 +869,9 @@
         {{"active_requests", this->relay.active_requests},
          {"open_connections", this->relay.open_connections}});
     this->drain_began = this->time.now();
+    this->relay.stop.begin(
+        this->drain_began,
+        this->drain_began + this->settings.bounds.stop_grace - kill_margin);
     this->rate_limits.leave();
     this->server.begin_drain();
     this->duty.release();
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -41,6 +41,9 @@
 /// until the suspicion has passed.
 constexpr duration retry_after_quarantine = 12s;
 
+/// Advice by an instance that stops, as others serve.
+constexpr duration retry_after_stop = 100ms;
+
 /// Advice while the instance reads its first configuration.
 constexpr duration retry_after_start = 500ms;
 
@@ -73,6 +76,7 @@
     case own_answer::no_backend_server:
     case own_answer::overloaded:
     case own_answer::quarantined:
+    case own_answer::stopping:
     case own_answer::timed_out_unsent:
         return 503;
     case own_answer::unknown_outcome:
@@ -95,6 +99,8 @@
         return retry_after_overload;
     case own_answer::quarantined:
         return retry_after_quarantine;
+    case own_answer::stopping:
+        return retry_after_stop;
     default:
         return std::nullopt;
     }
@@ -148,6 +154,8 @@
         return "unknown_outcome";
     case own_answer::quarantined:
         return "quarantined";
+    case own_answer::stopping:
+        return "stopping";
     case own_answer::timed_out:
         return "timed_out";
     case own_answer::timed_out_unsent:
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -33,6 +33,8 @@
     unknown_outcome,
     /// Requests with its content crash backend servers.
     quarantined,
+    /// The instance stops before the answer would be due.
+    stopping,
     /// Its time was up after it was sent.
     timed_out,
     /// Its time was up before it was sent.
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -181,6 +181,7 @@
     std::vector<server_id> excluded;
     std::uint32_t unsent = 0;
     bool refused = false;
+    bool is_stopping = false;
     bool may_have_run = false;
     duration limit_waited{};
     asio::steady_timer pause{relay.executor};
@@ -189,6 +190,12 @@
     budget.credit(relay.time.now());
     while (!served.is_over())
     {
+        is_stopping =
+            !relay.stop.may_send(work, served.deadline, relay.time.now());
+        if (is_stopping)
+        {
+            break;
+        }
         const auto fleet = relay.board.fleet.load();
         const service_server* const server =
             choose_server(served, *fleet, excluded, limited_servers::avoided);
@@ -270,9 +277,10 @@
     }
     co_await answer_ourselves(
         served,
-        !promise  ? own_answer::unknown_outcome
-        : refused ? own_answer::overloaded
-                  : own_answer::no_backend_server);
+        !promise      ? own_answer::unknown_outcome
+        : is_stopping ? own_answer::stopping
+        : refused     ? own_answer::overloaded
+                      : own_answer::no_backend_server);
 }
 
 } // namespace fireflysail
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -10,6 +10,7 @@
 #include "relay/rate_limit_gate.hpp"
 #include "relay/stall_monitor.hpp"
 #include "routing/congestion_tracker.hpp"
+#include "routing/drain_policy.hpp"
 #include "routing/outage_policy.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/server_balancer.hpp"
@@ -51,6 +52,7 @@
     absl::node_hash_map<service_id, retry_budget> retry_budgets;
     /// Set once the instance stops: answers end their connections.
     bool draining = false;
+    drain_policy stop{{}};
     outage_policy outages{{}};
     congestion_tracker congestion{congestion_tracker::options{}};
     /// Tells the other instances of a congested pipeline, by its first stage.
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -134,6 +134,7 @@
         served,
         any_ran             ? own_answer::unknown_outcome
         : state.quarantined ? own_answer::quarantined
+        : state.stopping    ? own_answer::stopping
         : state.refused     ? own_answer::overloaded
                             : own_answer::no_backend_server);
 }
@@ -162,6 +163,20 @@
     return true;
 }
 
+/// Whether the instance stops too soon for a stream that has not run yet. One
+/// that has begun goes on.
+bool is_stopping(stream_state& state)
+{
+    const exchange& served = state.served;
+    const work_kind work = served.matched->resumable
+                               ? work_kind::stream
+                               : work_kind::non_idempotent;
+    state.stopping = state.ran_at.empty() &&
+                     !served.relay.stop.may_send(
+                         work, served.deadline, served.relay.time.now());
+    return state.stopping;
+}
+
 } // namespace
 
 bool may_use_another_engine(const stream_state& state)
@@ -224,7 +239,7 @@
     retry_budget& budget = budget_of(relay, served.service);
     budget.credit(relay.time.now());
     asio::steady_timer pause{relay.executor};
-    while (!served.is_over() && !is_quarantined(state))
+    while (!served.is_over() && !is_quarantined(state) && !is_stopping(state))
     {
         const auto choice = choose_pipeline(state);
         const auto* routed = std::get_if<routed_pipeline>(&choice);
--- a/source/relay/stream_run.hpp
+++ b/source/relay/stream_run.hpp
@@ -46,6 +46,8 @@
     bool refused = false;
     /// Its content was found to crash engines before it ran.
     bool quarantined = false;
+    /// The instance stops, and it has not run yet.
+    bool stopping = false;
     /// The current run was ended because its pipeline fell silent.
     bool silenced = false;
     /// The current run was ended because its first event was late.
