Relay: answers that are kept until they are whole are bounded together

Reported by other operators: a faulty engine sent bytes without end, and the machine that had called it ran out of memory. Heads were bounded at 64 KB and bodies at 8 MB, but 30 such answers at once are more than an instance has.

answer_memory: all of them share a fifth of the memory; above that the longest one that is being read is given up, so that sound answers beside it are kept.

The new case of endless_answer_test, 24 endless answers beside 8 sound ones, fails without the common bound: 275 MB were sent, 151 MB allowed (socket buffers included). With it all sound ones are served.

--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -795,6 +795,8 @@
     add("backend_connections_reused_total", this->pool.counts.reused);
     add("backend_connections_failed_total", this->pool.counts.failed);
     add("backend_connections_spoiled_total", this->pool.counts.spoiled);
+    add("answer_bytes_held", this->relay.answers.size());
+    add("answers_given_up_total", this->relay.answers.given_up_count());
     add("limited_servers", this->rate_limits.limited_count());
     add("limit_grants_total", this->rate_limits.totals.granted);
     add("limit_denials_total", this->rate_limits.totals.denied);
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -111,6 +111,12 @@
 exchange::exchange(relay_context& relay, caller_connection& caller)
     : relay{relay}
     , caller{caller}
+    , held_answer{
+          relay.answers,
+          [this]
+          {
+              this->current->close();
+          }}
 {
 }
 
@@ -248,23 +254,24 @@
     co_return !failed && !served.is_over();
 }
 
-asio::awaitable<bool>
-read_whole_body(backend_connection& connection, std::string& body)
+asio::awaitable<bool> read_whole_body(
+    exchange& served, backend_connection& connection, std::string& body)
 {
     std::array<char, 8192> part{};
-    while (true)
+    served.held_answer.begin_read();
+    bool is_whole = false;
+    bool goes_on = true;
+    while (goes_on)
     {
         const auto read = co_await connection.read_body(part);
         body.append(part.data(), read.bytes);
-        if (read.error || body.size() > most_answer_bytes)
-        {
-            co_return false;
-        }
-        if (read.is_last)
-        {
-            co_return true;
-        }
+        const bool fits = served.held_answer.grow(read.bytes) &&
+                          body.size() <= most_answer_bytes;
+        is_whole = fits && !read.error && read.is_last;
+        goes_on = fits && !read.error && !read.is_last;
     }
+    served.held_answer.end_read();
+    co_return is_whole;
 }
 
 bool is_foreign(const exchange& served, const answer_facts& facts)
@@ -272,10 +279,11 @@
     return !facts.attempt.empty() && facts.attempt != served.facts.attempt;
 }
 
-asio::awaitable<bool> skip_answer(backend_connection& connection)
+asio::awaitable<bool>
+skip_answer(exchange& served, backend_connection& connection)
 {
     std::string body;
-    const bool whole = co_await read_whole_body(connection, body);
+    const bool whole = co_await read_whole_body(served, connection, body);
     if (!whole || !connection.may_expect_next_answer())
     {
         co_return false;
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -63,6 +63,7 @@
     std::uint32_t attempts = 0;
     /// The connection in use; closed to end the attempt early.
     backend_connection* current = nullptr;
+    answer_memory::holding held_answer;
     bool expired = false;
     /// The connection to the caller cannot carry another request.
     bool must_close = false;
@@ -100,9 +101,10 @@
 /// Serves a stream of a model engine.
 asio::awaitable<void> serve_stream(exchange& served);
 
-/// Reads the whole body; false when it broke off or is too large.
-asio::awaitable<bool>
-read_whole_body(backend_connection& connection, std::string& body);
+/// Reads the whole body; false when it broke off, is too large, or the answers
+/// of all requests are.
+asio::awaitable<bool> read_whole_body(
+    exchange& served, backend_connection& connection, std::string& body);
 
 /// Whether the answer belongs to another request: a server may send an answer
 /// once more, late, where the next one is due.
@@ -110,7 +112,8 @@
 
 /// Reads past an answer to another request; false if it does not end, or ends
 /// the connection. The own answer may follow.
-asio::awaitable<bool> skip_answer(backend_connection& connection);
+asio::awaitable<bool>
+skip_answer(exchange& served, backend_connection& connection);
 
 /// Sends a backend server's whole answer, without what concerned its
 /// connection only.
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -56,7 +56,7 @@
         {
             break;
         }
-        const bool goes_on = co_await skip_answer(connection);
+        const bool goes_on = co_await skip_answer(served, connection);
         if (!goes_on)
         {
             co_return result;
@@ -65,7 +65,7 @@
     const auto& header = connection.header();
     result.answer.base() = header;
     const bool whole =
-        co_await read_whole_body(connection, result.answer.body());
+        co_await read_whole_body(served, connection, result.answer.body());
     const bool is_ours = result.facts.attempt == served.facts.attempt;
     if (!whole || !is_ours)
     {
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -5,6 +5,7 @@
 #include "control/crash_registry.hpp"
 #include "control/engine_prober.hpp"
 #include "metrics/request_metrics.hpp"
+#include "relay/answer_memory.hpp"
 #include "relay/backend_pool.hpp"
 #include "relay/message_codec.hpp"
 #include "relay/rate_limit_gate.hpp"
@@ -53,6 +54,7 @@
     /// Set once the instance stops: answers end their connections.
     bool draining = false;
     drain_policy stop{{}};
+    answer_memory answers{answer_memory::share_of(this->node.memory)};
     outage_policy outages{{}};
     congestion_tracker congestion{congestion_tracker::options{}};
     /// Tells the other instances of a congested pipeline, by its first stage.
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -188,7 +188,8 @@
 {
     http_response answer;
     answer.base() = connection.header();
-    const bool whole = co_await read_whole_body(connection, answer.body());
+    const bool whole =
+        co_await read_whole_body(served, connection, answer.body());
     if (!whole)
     {
         co_return stream_end::broken;
@@ -220,7 +221,7 @@
         {
             co_return true;
         }
-        const bool goes_on = co_await skip_answer(connection);
+        const bool goes_on = co_await skip_answer(served, connection);
         if (!goes_on)
         {
             co_return false;
--- a/source/store/http_channel.cpp
+++ b/source/store/http_channel.cpp
@@ -22,9 +22,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-/// Largest answer that is read; a page of a list is about a megabyte.
-constexpr std::uint64_t most_answer_bytes = 16ULL * 1024 * 1024;
-
 /// Time within which the platform accepts a connection if it is there at all.
 constexpr std::chrono::milliseconds connect_time{1000};
 
@@ -78,8 +75,9 @@
     }
 };
 
-http_channel::http_channel(endpoint address)
+http_channel::http_channel(endpoint address, byte_count most_answer_bytes)
     : address{std::move(address)}
+    , most_answer_bytes{most_answer_bytes}
 {
 }
 
@@ -168,7 +166,7 @@
         });
     std::optional<http::response_parser<http::string_body>> parser{
         std::in_place};
-    parser->body_limit(most_answer_bytes);
+    parser->body_limit(this->most_answer_bytes.value());
     const auto not_read = not_written ? not_written
                                       : used.wait(
                                             left(),
--- a/source/store/http_channel.hpp
+++ b/source/store/http_channel.hpp
@@ -3,6 +3,7 @@
 #include "blackboard/fleet.hpp"
 #include "common/clock.hpp"
 #include "common/result.hpp"
+#include "common/units.hpp"
 
 #include <functional>
 #include <memory>
@@ -29,13 +30,18 @@
     std::string body;
 };
 
+/// Bounds an answer of the store, whose pages are about a megabyte.
+inline constexpr byte_count longest_page{16ULL * 1024 * 1024};
+
 /// One kept connection to an HTTP server, for calls that block the calling
 /// thread until their deadline at the latest. After any failure the next call
 /// opens a new connection. Used by one thread at a time.
 class http_channel
 {
 public:
-    explicit http_channel(endpoint address);
+    /// An answer with a longer body fails.
+    explicit http_channel(
+        endpoint address, byte_count most_answer_bytes = longest_page);
     ~http_channel();
 
     http_channel(const http_channel&) = delete;
@@ -57,6 +63,7 @@
     std::error_code connect(duration limit);
 
     const endpoint address;
+    const byte_count most_answer_bytes;
     std::unique_ptr<connection> current;
 };
 
--- a/unit_tests/relay/endless_answer_test.cpp
+++ b/unit_tests/relay/endless_answer_test.cpp
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <string>
+#include <vector>
 
 using namespace fireflysail;
 using namespace std::chrono_literals;
@@ -140,3 +142,39 @@
     CHECK(desk.received.size() == 1);
     CHECK(desk.endless_bytes <= most_bytes_taken);
 }
+
+// Guards against a machine that runs out of memory, as a server sends without
+// end to many requests at once.
+TEST_CASE_METHOD(
+    relay_fixture, "endless answers to many requests are bounded together")
+{
+    this->node.memory = byte_count{20ULL * 1024 * 1024};
+    auto& faulty = this->add_desk(
+        "d1",
+        [](numbered, const http_request& request)
+        {
+            const auto target = request.target();
+            const bool is_sound = target.find("sound") != target.npos;
+            return is_sound
+                       ? whole_answer(200, std::string(4'000, 'y'))
+                       : endless(
+                             stream_head, chunk_of(std::string(65'536, 'x')));
+        });
+    std::vector<std::string> requests;
+    for (int i = 0; i < 32; ++i)
+    {
+        requests.push_back(this->get(
+            i % 4 == 0 ? "/once/sound" : "/once/endless",
+            "X-Fireflysail-Deadline-Ms: 4000\r\n"));
+    }
+    const auto answers = this->ask_together(requests);
+    REQUIRE(answers.size() == requests.size());
+    const auto count = [&answers](unsigned status)
+    {
+        return std::ranges::count(answers, status, &received_answer::status);
+    };
+    CHECK(count(200) == 8);
+    CHECK(count(502) == 24);
+    // Alone, each may take twice as much as all of them together.
+    CHECK(faulty.endless_bytes <= 24 * std::size_t{6} * 1024 * 1024);
+}
--- a/unit_tests/relay/relay_fixture.cpp
+++ b/unit_tests/relay/relay_fixture.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace fireflysail
@@ -193,6 +195,26 @@
 
 std::vector<received_answer>
 relay_fixture::ask(const std::vector<std::string>& requests)
+{
+    return this->ask_on({requests});
+}
+
+std::vector<received_answer>
+relay_fixture::ask_together(const std::vector<std::string>& requests)
+{
+    std::vector<std::vector<std::string>> connections;
+    std::ranges::transform(
+        requests,
+        std::back_inserter(connections),
+        [](const std::string& request)
+        {
+            return std::vector{request};
+        });
+    return this->ask_on(connections);
+}
+
+std::vector<received_answer>
+relay_fixture::ask_on(const std::vector<std::vector<std::string>>& connections)
 {
     this->publish();
     pipeline_router pipelines{this->time, this->board.fleet};
@@ -224,24 +246,33 @@
         random,
         {}};
     relay.store_is_lost = this->store_is_lost;
+    if (this->stopping_for)
+    {
+        const time_point began = this->time.now() - *this->stopping_for;
+        relay.draining = true;
+        relay.stop.begin(began, began + this->node.bounds.stop_grace);
+    }
     tcp::acceptor acceptor{
         this->io, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
-    tcp::socket caller{this->io};
-    caller.connect(acceptor.local_endpoint());
-    bool served = false;
-    asio::co_spawn(
-        this->io,
-        serve_one(relay, acceptor.accept()),
-        [&served](const std::exception_ptr&)
-        {
-            served = true;
-        });
+    std::size_t served = 0;
     std::vector<received_answer> answers;
-    asio::co_spawn(
-        this->io,
-        ask_all(std::move(caller), requests, answers),
-        asio::detached);
-    while (!served)
+    for (const auto& requests : connections)
+    {
+        tcp::socket caller{this->io};
+        caller.connect(acceptor.local_endpoint());
+        asio::co_spawn(
+            this->io,
+            serve_one(relay, acceptor.accept()),
+            [&served](const std::exception_ptr&)
+            {
+                ++served;
+            });
+        asio::co_spawn(
+            this->io,
+            ask_all(std::move(caller), requests, answers),
+            asio::detached);
+    }
+    while (served < connections.size())
     {
         this->io.run_one();
     }
--- a/unit_tests/relay/relay_fixture.hpp
+++ b/unit_tests/relay/relay_fixture.hpp
@@ -5,6 +5,7 @@
 #include "relay/scripted_server.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,10 @@
     /// Sends the requests on one connection, one after the other.
     std::vector<received_answer> ask(const std::vector<std::string>& requests);
 
+    /// Sends each request on a connection of its own, all at once.
+    std::vector<received_answer>
+    ask_together(const std::vector<std::string>& requests);
+
     static std::string
     get(const std::string& path, const std::string& more_fields = {});
 
@@ -56,9 +61,14 @@
     silent_engines engines;
     std::shared_ptr<traffic_config> config;
     bool store_is_lost = false;
+    /// The instance began to stop so long ago, and ends after the grace.
+    std::optional<duration> stopping_for;
 
 private:
     void publish();
+    /// Sends the requests of each list on one connection, one after the other.
+    std::vector<received_answer>
+    ask_on(const std::vector<std::vector<std::string>>& connections);
 
     platform::header_codec codec;
     fleet_snapshot fleet;
