Relay: servers are left when they say so, and spared when they ask for it

An engine that leaves says so in its answers, possibly long before the store does, and one that refuses with 503 may name a time for which it wants nothing. Both were ignored: requests went on to servers that were about to exit, and on to servers that had asked for a pause.

A server that says that it leaves is published as leaving from then on, whatever the store says of the same boot: plain requests, streams, resumed ones, pipelines, layouts and orders all ask the mark. Its idle connections are closed. Other instances get a hint, and prefer other servers. Word from reports and health checks counts as well.

A server that backs off is left out of all choices, of probes and of orders. Where all servers back off, a request is refused at once, with a Retry-After by the earliest end, spread.

--- a/source/blackboard/fleet.hpp
+++ b/source/blackboard/fleet.hpp
@@ -4,6 +4,8 @@
 #include "common/identifiers.hpp"
 #include "common/units.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -111,6 +113,8 @@
     bool healthy = true;
     /// Requests that it runs at once; zero while unknown.
     std::uint32_t slots = 0;
+    /// See engine::started_at_ms.
+    std::uint64_t started_at_ms = 0;
 };
 
 /// Shape of a model: all holdings of it are ranges within [0, layers).
@@ -142,6 +146,11 @@
     std::vector<zone_link> links;
 };
 
+/// Start time of the engine or plain server with this id; none if it is not
+/// listed.
+std::optional<std::uint64_t>
+boot_of(const fleet_snapshot& fleet, const server_id& server);
+
 /// True when a server with this mark may be given new work.
 bool accepts_new_work(server_mark mark);
 
--- a/source/control/engine_control.hpp
+++ b/source/control/engine_control.hpp
@@ -36,6 +36,17 @@
     double slowdown = 1;
     std::vector<stalled_stream> stalled;
     std::uint64_t started_at_ms = 0;
+    /// The engine says that it leaves.
+    bool leaving = false;
+};
+
+/// What an engine says of its health, which may be wrong.
+struct engine_health
+{
+    /// A draining engine accepts none.
+    bool accepts_requests = false;
+    /// The engine says that it leaves.
+    bool leaving = false;
 };
 
 enum class order_outcome
@@ -81,9 +92,7 @@
 
     virtual result<engine_condition> status(const engine& server) = 0;
 
-    /// Whether the engine reports that it accepts requests; a draining engine
-    /// does not. The health that engines report may be wrong.
-    virtual result<bool> accepts_requests(const engine& server) = 0;
+    virtual result<engine_health> health(const engine& server) = 0;
 
     virtual order_outcome
     place(const engine& server, const placement_order& order) = 0;
--- a/source/control/engine_prober.cpp
+++ b/source/control/engine_prober.cpp
@@ -62,6 +62,8 @@
         return "answered";
     case engine_observation::congested:
         return "congested";
+    case engine_observation::leaving:
+        return "leaving";
     }
     return "unknown";
 }
@@ -98,6 +100,7 @@
         this->faults.remote_probe_succeeded(server, now);
         break;
     case engine_observation::congested:
+    case engine_observation::leaving:
         break;
     }
     const bool is_avoided = this->faults.is_avoided(server, now);
@@ -170,7 +173,7 @@
     for (const server_id& id : due_probes)
     {
         const auto server = find_engine(id);
-        if (server != fleet->engines.end())
+        if (server != fleet->engines.end() && !this->is_backing_off(id))
         {
             this->probe(*server, received);
         }
@@ -184,7 +187,7 @@
     replies received;
     for (const engine& server : fleet->engines)
     {
-        if (this->is_lost(server.id))
+        if (this->is_lost(server.id) || this->is_backing_off(server.id))
         {
             continue;
         }
@@ -224,6 +227,10 @@
         return;
     }
     const engine_condition& report = answer.value();
+    if (report.leaving)
+    {
+        this->handlers.on_leaving(server.id, server.started_at_ms);
+    }
     const bool same_incarnation = report.started_at_ms == 0 ||
                                   server.started_at_ms == 0 ||
                                   report.started_at_ms == server.started_at_ms;
@@ -276,14 +283,18 @@
             return probed_state::ready;
         }
     }
-    const auto accepts_requests = this->engines.accepts_requests(server);
-    const bool leaves = accepts_requests && !accepts_requests.value();
+    const auto health = this->engines.health(server);
+    if (health && health.value().leaving)
+    {
+        this->handlers.on_leaving(server.id, server.started_at_ms);
+    }
+    const bool leaves = health && !health.value().accepts_requests;
     log::event(
         log::level::info,
         log::channel::routing,
         "refusing_engine_asked",
         {{"server", server.id.str()},
-         {"answered", accepts_requests.has_value()},
+         {"answered", health.has_value()},
          {"leaves", leaves}});
     return leaves ? probed_state::leaving : probed_state::ready;
 }
@@ -302,6 +313,11 @@
     return this->faults.avoided(this->time.now());
 }
 
+bool engine_prober::is_backing_off(const server_id& server) const
+{
+    return this->handlers.is_backing_off(server);
+}
+
 bool engine_prober::is_lost(const server_id& server) const
 {
     const absl::MutexLock lock{&this->mutex};
--- a/source/control/engine_prober.hpp
+++ b/source/control/engine_prober.hpp
@@ -8,6 +8,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
+#include <cstdint>
 #include <functional>
 #include <string_view>
 #include <utility>
@@ -28,6 +29,9 @@
     /// Streams wait too long for their first event on the pipeline that begins
     /// with the engine. Says nothing about the engine itself.
     congested,
+    /// The engine said in an answer that it leaves. A rumour for all that have
+    /// not heard it themselves.
+    leaving,
 };
 
 /// Holds the suspicions that the traffic thread and the duties share, and sends
@@ -60,6 +64,15 @@
             share_observation;
         /// Schedules `probe_suspected`, because a probe is due now.
         std::function<void()> request_probe;
+        /// The engine says that this boot of it leaves.
+        std::function<void(const server_id&, std::uint64_t boot)> on_leaving =
+            [](const server_id&, std::uint64_t) {};
+        /// Whether the engine wants no request, probes included.
+        std::function<bool(const server_id&)> is_backing_off =
+            [](const server_id&)
+        {
+            return false;
+        };
     };
 
     /// Must be called once, before other threads use this object.
@@ -81,6 +94,9 @@
     /// See engine_faults::is_gone().
     bool is_gone(const server_id& server) const;
 
+    /// Whether the engine wants no request now, probes and orders included.
+    bool is_backing_off(const server_id& server) const;
+
     /// Engines confirmed as lost; see engine_faults::is_lost().
     std::vector<server_id> lost() const;
 
--- a/source/control/fleet_builder.cpp
+++ b/source/control/fleet_builder.cpp
@@ -130,6 +130,7 @@
     built.zone = entry.zone;
     built.mark = entry.mark;
     built.slots = entry.slots;
+    built.started_at_ms = entry.started_at_ms;
     return built;
 }
 
--- a/source/control/layout_controller.cpp
+++ b/source/control/layout_controller.cpp
@@ -1,5 +1,6 @@
 #include "control/layout_controller.hpp"
 
+#include "common/error.hpp"
 #include "common/log.hpp"
 #include "control/fleet_builder.hpp"
 #include "store/backoff.hpp"
@@ -214,9 +215,11 @@
     pending_order order;
     order.layers = step.layers;
     order.started_at_ms = server.started_at_ms;
-    const auto status = this->engines.status(server);
+    const auto status = this->prober.is_backing_off(server.id)
+                            ? result<engine_condition>{errc::unavailable}
+                            : this->engines.status(server);
     order_outcome outcome = order_outcome::not_sent;
-    if (status)
+    if (status && !status.value().leaving)
     {
         outcome = this->engines.place(
             server,
--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -53,6 +53,45 @@
     }
 }
 
+bool traffic_controller::set_leaving(
+    const server_id& server, std::uint64_t boot)
+{
+    const absl::MutexLock lock{&this->mutex};
+    if (!this->leaving.add(server, boot))
+    {
+        return false;
+    }
+    this->publish_fleet();
+    return true;
+}
+
+std::size_t traffic_controller::leaving_count() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->leaving.size();
+}
+
+std::vector<server_entry> traffic_controller::current_entries()
+{
+    std::vector<server_entry> entries = this->directory.entries();
+    for (server_entry& entry : entries)
+    {
+        if (this->leaving.on_boot(entry.id, entry.started_at_ms))
+        {
+            log::event(
+                log::level::info,
+                log::channel::control,
+                "leaving_server_started_again",
+                {{"server", entry.id.str()}, {"boot", entry.started_at_ms}});
+        }
+        if (this->leaving.contains(entry.id, entry.started_at_ms))
+        {
+            entry.mark = server_mark::leaving;
+        }
+    }
+    return entries;
+}
+
 void traffic_controller::apply_engine_reports(
     const std::vector<std::pair<server_id, engine_condition>>& reports)
 {
@@ -146,7 +185,7 @@
         return;
     }
     auto fleet = std::make_shared<fleet_snapshot>(
-        build_fleet(this->directory.entries(), *known, this->servers_version));
+        build_fleet(this->current_entries(), *known, this->servers_version));
     for (engine& server : fleet->engines)
     {
         server.healthy =
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -4,6 +4,7 @@
 #include "common/clock.hpp"
 #include "common/result.hpp"
 #include "control/engine_control.hpp"
+#include "control/leaving_servers.hpp"
 #include "control/server_directory.hpp"
 #include "store/watch_hub.hpp"
 
@@ -56,6 +57,13 @@
     /// published as unhealthy, whatever their store entries say.
     void set_lost_engines(std::vector<server_id> servers);
 
+    /// The server said in an answer that this boot of it leaves: publishes it
+    /// as leaving from now on, whatever its store entry says. Returns false if
+    /// that was known.
+    bool set_leaving(const server_id& server, std::uint64_t boot);
+
+    std::size_t leaving_count() const;
+
     /// Removes servers whose entries have not reappeared in the store; called
     /// periodically.
     void expire_servers();
@@ -96,6 +104,9 @@
     void apply_config(const stored_object& object);
     std::optional<server_entry> decode_entry(const stored_object& object) const;
     void publish_fleet() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// The directory with the marks that servers gave themselves in answers.
+    std::vector<server_entry> current_entries()
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     blackboard& board;
     const traffic_objects objects;
@@ -108,6 +119,7 @@
     server_directory directory ABSL_GUARDED_BY(mutex);
     revision servers_version ABSL_GUARDED_BY(mutex);
     std::vector<server_id> lost_engines ABSL_GUARDED_BY(mutex);
+    leaving_servers leaving ABSL_GUARDED_BY(mutex);
     bool has_servers ABSL_GUARDED_BY(mutex) = false;
 };
 
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -154,8 +154,7 @@
           this->time,
           [this]
           {
-              this->pipelines.refresh();
-              this->duty.wake();
+              this->on_fleet();
           }}
     , config_freshness{this->time, freshness(this->settings.bounds)}
     , servers_freshness{this->time, freshness(this->settings.bounds)}
@@ -279,6 +278,7 @@
            }}}
     , pool{this->io.get_executor(), this->time}
     , rate_limits{this->io.get_executor(), this->time, this->settings.self}
+    , backoff{this->time, {}}
     , stalls{this->io.get_executor(), this->time}
     , relay{
           this->io.get_executor(),
@@ -293,6 +293,7 @@
           this->stalls,
           this->pool,
           this->rate_limits,
+          this->backoff,
           this->metrics,
           this->random,
           {}}
@@ -551,9 +552,18 @@
         return;
     }
     const auto& told = std::get<notice>(message);
-    if (told.news == engine_observation::congested)
+    if (told.news == engine_observation::congested ||
+        told.news == engine_observation::leaving)
     {
         this->relay.congestion.report(told.server, this->time.now());
+    }
+    if (told.news == engine_observation::leaving)
+    {
+        this->servers.on_leaving_hint(told.server, this->time.now());
+    }
+    if (told.news == engine_observation::congested ||
+        told.news == engine_observation::leaving)
+    {
         return;
     }
     this->inquiry.on_peer_observation(told.from, told.server, told.news);
@@ -597,7 +607,19 @@
          [this]
          {
              this->duty.wake();
+         },
+         [this](const server_id& server, std::uint64_t boot)
+         {
+             this->on_leaving(server, boot);
+         },
+         [this](const server_id& server)
+         {
+             return this->backoff.until(server).has_value();
          }});
+    this->relay.on_leaving = [this](const server_id& server, std::uint64_t boot)
+    {
+        this->on_leaving(server, boot);
+    };
     if (this->settings.notices.port == 0)
     {
         return;
@@ -618,6 +640,34 @@
     }
 }
 
+void relay_process::on_leaving(const server_id& server, std::uint64_t boot)
+{
+    if (!this->traffic.set_leaving(server, boot))
+    {
+        return;
+    }
+    log::event(
+        log::level::info,
+        log::channel::routing,
+        "server_says_it_leaves",
+        {{"server", server.str()}, {"boot", boot}});
+    this->tell_others(server, engine_observation::leaving);
+}
+
+void relay_process::on_fleet()
+{
+    this->pipelines.refresh();
+    this->duty.wake();
+    const auto fleet = this->board.fleet.load();
+    for (const server_id& server : this->backoff.closed())
+    {
+        if (const auto boot = boot_of(*fleet, server))
+        {
+            this->backoff.on_boot(server, *boot);
+        }
+    }
+}
+
 void relay_process::tell_others(
     const server_id& server, engine_observation news)
 {
@@ -707,7 +757,9 @@
 
 void relay_process::doubt(const server_id& server, engine_observation news)
 {
-    if (news != engine_observation::answered)
+    const bool is_doubtful = news != engine_observation::answered &&
+                             news != engine_observation::leaving;
+    if (is_doubtful)
     {
         this->stalls.doubt(server);
     }
@@ -797,6 +849,8 @@
     add("backend_connections_spoiled_total", this->pool.counts.spoiled);
     add("answer_bytes_held", this->relay.answers.size());
     add("answers_given_up_total", this->relay.answers.given_up_count());
+    add("servers_backing_off", this->backoff.closed().size());
+    add("servers_that_say_they_leave", this->traffic.leaving_count());
     add("limited_servers", this->rate_limits.limited_count());
     add("limit_grants_total", this->rate_limits.totals.granted);
     add("limit_denials_total", this->rate_limits.totals.denied);
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -94,6 +94,12 @@
     /// Sends a message to the other instances. Traffic thread.
     void send_to_peers(const peer_message& message);
 
+    /// A server says in an answer that this boot of it leaves. Any thread.
+    void on_leaving(const server_id& server, std::uint64_t boot);
+
+    /// A fleet was published.
+    void on_fleet();
+
     /// Streams through an engine in doubt leave it at shorter silence.
     void doubt(const server_id& server, engine_observation news);
 
@@ -162,6 +168,7 @@
     notice_channel notices;
     backend_pool pool;
     rate_limit_gate rate_limits;
+    server_backoff backoff;
     server_balancer servers;
     stall_monitor stalls;
     request_metrics metrics;
--- a/source/notices/notice_codec.cpp
+++ b/source/notices/notice_codec.cpp
@@ -17,7 +17,8 @@
     engine_observation::failed,
     engine_observation::unanswered,
     engine_observation::answered,
-    engine_observation::congested};
+    engine_observation::congested,
+    engine_observation::leaving};
 
 /// Parts that are read of one message.
 constexpr std::size_t max_parts = 64;
--- a/source/relay/backend_pool.cpp
+++ b/source/relay/backend_pool.cpp
@@ -85,6 +85,11 @@
     }
 }
 
+void backend_pool::close_idle_to(const endpoint& address)
+{
+    this->idle.erase(key_of(address));
+}
+
 void backend_pool::close_idle()
 {
     const time_point now = this->time.now();
--- a/source/relay/backend_pool.hpp
+++ b/source/relay/backend_pool.hpp
@@ -42,6 +42,9 @@
     /// Keeps the connection for later if it may be kept.
     void give_back(std::unique_ptr<backend_connection> used);
 
+    /// Closes all idle connections to the server.
+    void close_idle_to(const endpoint& address);
+
     /// Closes what has been idle for too long.
     void close_idle();
 
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -1,10 +1,13 @@
 #include "relay/exchange.hpp"
 
+#include "common/log.hpp"
+
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <random>
 
 namespace fireflysail
@@ -306,10 +309,100 @@
     }
 }
 
-void note_limit(
-    exchange& served, const server_id& server, const answer_facts& facts)
+contacted_server contact(
+    const relay_context& relay, const server_id& id, const endpoint& address)
 {
-    served.relay.rate_limits.on_answer(server, facts.rate_limit);
+    return {id, boot_of(*relay.board.fleet.load(), id).value_or(0), address};
+}
+
+void note_answer(
+    relay_context& relay,
+    const contacted_server& server,
+    const answer_facts& facts)
+{
+    relay.rate_limits.on_answer(server.id, facts.rate_limit);
+    if (facts.leaving)
+    {
+        relay.pool.close_idle_to(server.address);
+        relay.on_leaving(server.id, server.boot);
+    }
+    if (!facts.backoff)
+    {
+        if (facts.has_bad_backoff &&
+            relay.bad_backoffs.insert(server.id).second)
+        {
+            log::event(
+                log::level::warning,
+                log::channel::routing,
+                "backoff_unreadable",
+                {{"server", server.id.str()}});
+        }
+        return;
+    }
+    const auto& load = facts.load;
+    const bool was_full = load && load->running + load->waiting >= load->slots;
+    const bool is_new = relay.backoff.on_refusal(
+        server.id, server.boot, *facts.backoff, was_full);
+    if (is_new)
+    {
+        log::event(
+            log::level::info,
+            log::channel::routing,
+            "server_backs_off",
+            {{"server", server.id.str()},
+             {"boot", server.boot},
+             {"seconds", to_seconds(*facts.backoff)},
+             {"was_full", was_full}});
+    }
+}
+
+void exclude(
+    const relay_context& relay,
+    held_back which,
+    std::vector<server_id>& excluded)
+{
+    const auto add = [&excluded](const std::vector<server_id>& servers)
+    {
+        std::ranges::copy(servers, std::back_inserter(excluded));
+    };
+    if (which != held_back::none)
+    {
+        add(relay.rate_limits.exhausted());
+    }
+    if (which == held_back::all || which == held_back::closed)
+    {
+        add(relay.backoff.closed());
+    }
+    if (which == held_back::all)
+    {
+        add(relay.backoff.returning(relay.random));
+    }
+}
+
+void advise_after_backoff(
+    exchange& served, const std::vector<server_id>& servers)
+{
+    relay_context& relay = served.relay;
+    const time_point now = relay.time.now();
+    std::optional<duration> earliest;
+    for (const server_id& server : servers)
+    {
+        const auto end = relay.backoff.until(server);
+        if (!end)
+        {
+            return;
+        }
+        earliest = std::min(earliest.value_or(*end - now), *end - now);
+    }
+    if (!earliest)
+    {
+        return;
+    }
+    // Those that are refused together do not come back together.
+    const duration spread = std::chrono::duration_cast<duration>(
+        retry_after_overload *
+        std::uniform_real_distribution{0.0, 1.0}(relay.random));
+    served.come_back_after = *earliest + spread;
 }
 
 limit_wait wait_for_limit(exchange& served, duration waited, bool has_begun)
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -133,9 +133,46 @@
 /// could be made: nothing was sent.
 asio::awaitable<bool> ensure_open(exchange& served, backend_pool::taken& taken);
 
-/// Takes in the limit of requests that the server's answer names.
-void note_limit(
-    exchange& served, const server_id& server, const answer_facts& facts);
+/// The server that an attempt was sent to, as it was known then.
+struct contacted_server
+{
+    server_id id;
+    std::uint64_t boot = 0;
+    endpoint address;
+};
+
+contacted_server contact(
+    const relay_context& relay, const server_id& id, const endpoint& address);
+
+/// Takes in what the server says of itself in an answer: its limit of requests,
+/// that it leaves, and for how long it wants no request.
+void note_answer(
+    relay_context& relay,
+    const contacted_server& server,
+    const answer_facts& facts);
+
+/// Servers that may be left out of a choice although they are there.
+enum class held_back
+{
+    /// Those at their limit, those that back off, and most of those that have
+    /// just stopped to.
+    all,
+    /// Those at their limit and those that back off.
+    closed,
+    /// Those at their limit.
+    limited,
+    none,
+};
+
+void exclude(
+    const relay_context& relay,
+    held_back which,
+    std::vector<server_id>& excluded);
+
+/// Sets when to come back for a refused request if all servers that could run
+/// it back off: after the earliest end among them, spread.
+void advise_after_backoff(
+    exchange& served, const std::vector<server_id>& servers);
 
 struct limit_wait
 {
--- a/source/relay/message_codec.hpp
+++ b/source/relay/message_codec.hpp
@@ -85,6 +85,12 @@
     std::optional<reported_load> load;
     /// Requests a second that the server takes from all instances together.
     std::optional<double> rate_limit;
+    /// The server says that it leaves.
+    bool leaving = false;
+    /// A refusal names a time for which the server wants no request.
+    std::optional<duration> backoff;
+    /// A refusal names such a time in a way that cannot be used.
+    bool has_bad_backoff = false;
     /// How long the server keeps the connection idle.
     std::optional<duration> keep_alive;
 };
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -101,6 +101,8 @@
     ++served.attempts;
     served.last_server = server.id;
     relay.servers.on_sent(server.id);
+    const contacted_server contacted{
+        server.id, server.started_at_ms, server.address};
     const time_point sent_at = relay.time.now();
     served.current = taken.connection.get();
     taken.connection->start_request(make_dispatch(served, facts));
@@ -111,7 +113,7 @@
     taken.connection->idle_limit = result.facts.keep_alive;
     if (result.has_header)
     {
-        note_limit(served, server.id, result.facts);
+        note_answer(relay, contacted, result.facts);
     }
     if (result.facts.load)
     {
@@ -126,32 +128,21 @@
         : result.end == attempt_end::refused ? server_outcome::refused
                                              : server_outcome::failed;
     relay.servers.on_ended(server.id, outcome, now - sent_at, now);
-    if (result.end != attempt_end::broken)
+    if (result.end != attempt_end::broken && !result.facts.leaving)
     {
         relay.pool.give_back(std::move(taken.connection));
     }
     co_return result;
 }
 
-enum class limited_servers
-{
-    /// Those whose limit leaves no room are avoided.
-    avoided,
-    included,
-};
-
 const service_server* choose_server(
     const exchange& served,
     const fleet_snapshot& fleet,
     std::vector<server_id> excluded,
-    limited_servers limited)
+    held_back left_out)
 {
     relay_context& relay = served.relay;
-    if (limited == limited_servers::avoided)
-    {
-        std::ranges::copy(
-            relay.rate_limits.exhausted(), std::back_inserter(excluded));
-    }
+    exclude(relay, left_out, excluded);
     return relay.servers.choose(
         fleet,
         served.service,
@@ -161,6 +152,30 @@
         relay.random);
 }
 
+std::vector<server_id>
+servers_of(const fleet_snapshot& fleet, const service_id& service)
+{
+    std::vector<server_id> servers;
+    for (const service_server& server : fleet.services)
+    {
+        if (server.service == service)
+        {
+            servers.push_back(server.id);
+        }
+    }
+    return servers;
+}
+
+/// Whether the server may still get the request that was waiting for it.
+bool is_open_to(const relay_context& relay, const service_server& chosen)
+{
+    const auto fleet = relay.board.fleet.load();
+    const auto found =
+        std::ranges::find(fleet->services, chosen.id, &service_server::id);
+    return found != fleet->services.end() && accepts_new_work(found->mark) &&
+           !relay.backoff.until(chosen.id);
+}
+
 /// Whether another server may be asked after this end.
 bool may_repeat(attempt_end end, work_kind work)
 {
@@ -197,13 +212,19 @@
             break;
         }
         const auto fleet = relay.board.fleet.load();
-        const service_server* const server =
-            choose_server(served, *fleet, excluded, limited_servers::avoided);
-        const bool is_limited =
-            server == nullptr &&
-            choose_server(
-                served, *fleet, excluded, limited_servers::included) != nullptr;
-        if (is_limited)
+        const auto choose = [&](held_back left_out)
+        {
+            return choose_server(served, *fleet, excluded, left_out);
+        };
+        const service_server* server = choose(held_back::all);
+        server = server != nullptr ? server : choose(held_back::closed);
+        if (server == nullptr && choose(held_back::limited) != nullptr)
+        {
+            // All that would have room want no request.
+            refused = true;
+            break;
+        }
+        if (server == nullptr && choose(held_back::none) != nullptr)
         {
             const auto [wait] = wait_for_limit(served, limit_waited, false);
             if (!wait)
@@ -225,7 +246,7 @@
             break;
         }
         const bool has_room = co_await relay.rate_limits.acquire(server->id);
-        if (!has_room || served.is_over())
+        if (!has_room || served.is_over() || !is_open_to(relay, *server))
         {
             continue;
         }
@@ -267,6 +288,11 @@
         co_return;
     }
     const bool promise = !may_have_run;
+    if (promise && refused)
+    {
+        advise_after_backoff(
+            served, servers_of(*relay.board.fleet.load(), served.service));
+    }
     if (served.expired)
     {
         co_await answer_ourselves(
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -14,13 +14,16 @@
 #include "routing/drain_policy.hpp"
 #include "routing/outage_policy.hpp"
 #include "routing/retry_budget.hpp"
+#include "routing/server_backoff.hpp"
 #include "routing/server_balancer.hpp"
 #include "serving/pipeline_router.hpp"
 #include "settings/node_settings.hpp"
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/container/node_hash_map.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <random>
 
@@ -46,6 +49,7 @@
     stall_monitor& stalls;
     backend_pool& pool;
     rate_limit_gate& rate_limits;
+    server_backoff& backoff;
     request_metrics& metrics;
     std::mt19937_64& random;
     /// Budget of each service for sending a request once more. Requests hold
@@ -60,6 +64,11 @@
     /// Tells the other instances of a congested pipeline, by its first stage.
     std::function<void(const server_id&)> share_congestion =
         [](const server_id&) {};
+    /// Servers whose backoff could not be read, for the log.
+    absl::flat_hash_set<server_id> bad_backoffs = {};
+    /// Called when a server says in an answer that this boot of it leaves.
+    std::function<void(const server_id&, std::uint64_t boot)> on_leaving =
+        [](const server_id&, std::uint64_t) {};
     /// The store has not answered for a while.
     bool store_is_lost = false;
     /// Instances that share the retry budgets, as far as known.
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -123,6 +123,10 @@
         co_return;
     }
     const bool any_ran = !state.ran_at.empty();
+    if (!any_ran && state.refused)
+    {
+        advise_after_backoff(served, served.relay.pipelines.first_stages());
+    }
     if (served.expired)
     {
         co_await answer_ourselves(
@@ -144,7 +148,31 @@
 {
     return state.served.relay.rate_limits.time_until_room() &&
            std::holds_alternative<routed_pipeline>(
-               choose_pipeline(state, limited_engines::included));
+               choose_pipeline(state, held_back::none));
+}
+
+/// Whether there is a pipeline, but only of engines that back off.
+bool is_backed_off(const stream_state& state)
+{
+    return !state.served.relay.backoff.closed().empty() &&
+           std::holds_alternative<routed_pipeline>(
+               choose_pipeline(state, held_back::limited));
+}
+
+/// The pipeline for the next run, past the engines that have just stopped to
+/// back off if there is another one.
+route_outcome choose_next_pipeline(const stream_state& state)
+{
+    auto choice = choose_pipeline(state, held_back::all);
+    return std::holds_alternative<routed_pipeline>(choice)
+               ? choice
+               : choose_pipeline(state, held_back::closed);
+}
+
+/// Whether the engine may still get the stream that waited for its turn.
+bool is_open_to(const relay_context& relay, const server_id& first)
+{
+    return !is_leaving(relay.board, first) && !relay.backoff.until(first);
 }
 
 /// Whether the content was quarantined while the request waited, or since it
@@ -191,19 +219,14 @@
            static_cast<std::ptrdiff_t>(state.served.matched->most_attempts);
 }
 
-route_outcome
-choose_pipeline(const stream_state& state, limited_engines limited)
+route_outcome choose_pipeline(const stream_state& state, held_back left_out)
 {
     relay_context& relay = state.served.relay;
     route_request wanted = describe(state);
     std::vector<server_id> excluded = relay.inquiry.avoided();
     excluded.insert(
         excluded.end(), state.excluded.begin(), state.excluded.end());
-    if (limited == limited_engines::avoided)
-    {
-        std::ranges::copy(
-            relay.rate_limits.exhausted(), std::back_inserter(excluded));
-    }
+    exclude(relay, left_out, excluded);
     pipeline_router& pipelines = relay.pipelines;
     if (!may_use_another_engine(state))
     {
@@ -241,8 +264,19 @@
     asio::steady_timer pause{relay.executor};
     while (!served.is_over() && !is_quarantined(state) && !is_stopping(state))
     {
-        const auto choice = choose_pipeline(state);
+        const auto choice = choose_next_pipeline(state);
         const auto* routed = std::get_if<routed_pipeline>(&choice);
+        if (routed == nullptr && is_backed_off(state))
+        {
+            if (!state.header_sent)
+            {
+                state.refused = true;
+                break;
+            }
+            served.held += wait_for_pipeline;
+            co_await pause_for(pause, wait_for_pipeline);
+            continue;
+        }
         if (routed == nullptr && is_limited(state))
         {
             const auto [wait] =
@@ -272,7 +306,8 @@
         relay.outages.on_pipeline_found(model_id{served.service.str()});
         const bool has_room =
             co_await relay.rate_limits.acquire(routed->stages.front().server);
-        if (!has_room || served.is_over())
+        if (!has_room || served.is_over() ||
+            !is_open_to(relay, routed->stages.front().server))
         {
             continue;
         }
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -250,7 +250,7 @@
         co_return stream_end::broken;
     }
     connection.idle_limit = facts.keep_alive;
-    note_limit(served, routed.stages.front().server, facts);
+    note_answer(served.relay, state.contacted, facts);
     if (facts.load)
     {
         served.relay.pipelines.on_first_stage_load(
@@ -334,14 +334,6 @@
            !relay.congestion.is_congested(first, relay.time.now());
 }
 
-/// Whether an operator or the platform ends the engine, or has ended it.
-bool is_leaving(const blackboard& board, const server_id& server)
-{
-    const auto fleet = board.fleet.load();
-    const auto found = std::ranges::find(fleet->engines, server, &engine::id);
-    return found == fleet->engines.end() || !accepts_new_work(found->mark);
-}
-
 /// After a run without an event: suspects the content if the engine crashed.
 asio::awaitable<void>
 note_crash(stream_state& state, const routed_pipeline& routed)
@@ -411,6 +403,13 @@
 
 } // namespace
 
+bool is_leaving(const blackboard& board, const server_id& server)
+{
+    const auto fleet = board.fleet.load();
+    const auto found = std::ranges::find(fleet->engines, server, &engine::id);
+    return found == fleet->engines.end() || !accepts_new_work(found->mark);
+}
+
 asio::awaitable<stream_end>
 run_stream(stream_state& state, const routed_pipeline& routed)
 {
@@ -463,6 +462,7 @@
                                    objective * late_part_of_objective));
     }
     state.first_event = &first_event;
+    state.contacted = contact(relay, first.server, first.address);
     taken.connection->start_request(make_dispatch(served, facts));
     const auto end = co_await read_stream(state, routed, *taken.connection);
     state.run = nullptr;
@@ -488,7 +488,10 @@
             co_await note_crash(state, routed);
         }
     }
-    relay.pool.give_back(std::move(taken.connection));
+    if (!is_leaving(relay.board, first.server))
+    {
+        relay.pool.give_back(std::move(taken.connection));
+    }
     co_return end;
 }
 
--- a/source/relay/stream_run.hpp
+++ b/source/relay/stream_run.hpp
@@ -66,25 +66,22 @@
     duration limit_waited{};
     /// Runs that ended with the crash of their engine before any event.
     int crashes = 0;
+    /// The first engine of the current run.
+    contacted_server contacted;
 };
 
 /// The operators bound the engines that one attempt of a caller runs on; those
 /// that are gone do not count.
 bool may_use_another_engine(const stream_state& state);
 
-/// Engines that are left out of a choice of pipelines.
-enum class limited_engines
-{
-    /// Those whose limit leaves no room are avoided.
-    avoided,
-    included,
-};
-
 /// A pipeline for the next run of the stream. Congested ones are used only if
 /// there is no other.
-route_outcome choose_pipeline(
-    const stream_state& state,
-    limited_engines limited = limited_engines::avoided);
+route_outcome
+choose_pipeline(const stream_state& state, held_back left_out = held_back::all);
+
+/// Whether an operator, the platform or the engine itself ends the engine, or
+/// has ended it.
+bool is_leaving(const blackboard& board, const server_id& server);
 
 /// Runs the stream on the pipeline and forwards its events.
 asio::awaitable<stream_end>
--- a/source/routing/server_balancer.cpp
+++ b/source/routing/server_balancer.cpp
@@ -124,6 +124,13 @@
     }
 }
 
+void server_balancer::on_leaving_hint(const server_id& server, time_point now)
+{
+    record& known = this->records[server];
+    known.failure_rate = 1;
+    known.failure_rate_updated_at = now;
+}
+
 void server_balancer::on_load(
     const server_id& server,
     std::uint32_t running,
--- a/source/routing/server_balancer.hpp
+++ b/source/routing/server_balancer.hpp
@@ -46,6 +46,10 @@
         duration response_time,
         time_point now);
 
+    /// Another instance heard that the server leaves: it is used only where the
+    /// others are much worse.
+    void on_leaving_hint(const server_id& server, time_point now);
+
     /// Stores the load that the server reported over all its callers.
     void on_load(
         const server_id& server,
--- a/source/store/http_channel.cpp
+++ b/source/store/http_channel.cpp
@@ -186,6 +186,14 @@
     }
     channel_answer answer{
         parser->get().result_int(), std::move(parser->get().body())};
+    for (const auto& field : parser->get())
+    {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        answer.fields.emplace_back(
+            std::string{name.data(), name.size()},
+            std::string{value.data(), value.size()});
+    }
     if (!parser->get().keep_alive() || used.buffer.size() > 0)
     {
         this->current.reset();
--- a/source/store/http_channel.hpp
+++ b/source/store/http_channel.hpp
@@ -28,6 +28,8 @@
 {
     unsigned status = 0;
     std::string body;
+    /// Fields of the header.
+    std::vector<std::pair<std::string, std::string>> fields = {};
 };
 
 /// Bounds an answer of the store, whose pages are about a megabyte.
--- a/unit_tests/control/layout_controller_test.cpp
+++ b/unit_tests/control/layout_controller_test.cpp
@@ -36,9 +36,9 @@
         return report;
     }
 
-    result<bool> accepts_requests(const engine& server) override
+    result<engine_health> health(const engine& server) override
     {
-        return !this->leaving.contains(server.id);
+        return engine_health{!this->leaving.contains(server.id), false};
     }
 
     order_outcome
--- a/unit_tests/control/traffic_controller_test.cpp
+++ b/unit_tests/control/traffic_controller_test.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/// A configuration's value is its version, a server's value its service; other
-/// values do not decode.
+/// A configuration's value is its version, a server's value its service and,
+/// after an @, its boot; other values do not decode.
 traffic_objects simple_objects()
 {
     return {
@@ -49,7 +49,11 @@
             }
             server_entry entry;
             entry.id = id;
-            entry.service = service_id{std::string{text}};
+            const auto at = text.find('@');
+            entry.service = service_id{std::string{text.substr(0, at)}};
+            entry.started_at_ms =
+                at == text.npos ? 0
+                                : std::stoull(std::string{text.substr(at + 1)});
             entry.kind = accelerator_kind{"t4"};
             entry.layers = {
                 {{layer_index{0}, layer_index{8}}, model_version{"1"}}};
@@ -172,3 +176,45 @@
     const auto fleet = this->board.fleet.load();
     CHECK(fleet->engines.at(1).holdings.at(0).layers.first == layer_index{8});
 }
+
+TEST_CASE_METHOD(
+    fixture, "a server that says it leaves is published as leaving")
+{
+    const char* const service = GENERATE("model@7", "desk@7");
+    const auto mark = [this]
+    {
+        const auto fleet = this->board.fleet.load();
+        return fleet->engines.empty() ? fleet->services.front().mark
+                                      : fleet->engines.front().mark;
+    };
+    this->config("2", 1);
+    this->servers({make("servers", "s1", service, 1)});
+    CHECK(mark() == server_mark::serving);
+    CHECK(this->traffic.set_leaving(server_id{"s1"}, 7));
+    CHECK(mark() == server_mark::leaving);
+    const int published = this->published;
+    CHECK_FALSE(this->traffic.set_leaving(server_id{"s1"}, 7));
+    CHECK(this->published == published);
+    SECTION("whatever the store says of the same boot")
+    {
+        this->servers({make("servers", "s1", service, 2)});
+        CHECK(mark() == server_mark::leaving);
+        this->servers({});
+        this->servers({make("servers", "s1", service, 3)});
+        CHECK(mark() == server_mark::leaving);
+    }
+    SECTION("and another boot starts clean")
+    {
+        const std::string next = std::string{service}.replace(
+            std::string{service}.size() - 1, 1, "8");
+        this->servers({make("servers", "s1", next.c_str(), 2)});
+        CHECK(mark() == server_mark::serving);
+        CHECK(this->traffic.leaving_count() == 0);
+    }
+    SECTION("and an answer of an earlier boot says nothing of this one")
+    {
+        this->servers({make("servers", "s2", service, 2)});
+        this->traffic.set_leaving(server_id{"s2"}, 6);
+        CHECK(mark() == server_mark::serving);
+    }
+}
--- a/unit_tests/notices/notice_codec_test.cpp
+++ b/unit_tests/notices/notice_codec_test.cpp
@@ -10,7 +10,8 @@
         engine_observation::failed,
         engine_observation::unanswered,
         engine_observation::answered,
-        engine_observation::congested);
+        engine_observation::congested,
+        engine_observation::leaving);
     const notice told{instance_id{"entry-1"}, server_id{"engine-7"}, news};
     CHECK(decode_message(encode(told)) == peer_message{told});
 }
--- a/unit_tests/platform/header_codec_test.cpp
+++ b/unit_tests/platform/header_codec_test.cpp
@@ -184,3 +184,40 @@
     CHECK_FALSE(limit_of("nan"));
     CHECK_FALSE(codec.read_answer(200, {}).rate_limit);
 }
+
+TEST_CASE("a server says that it leaves in any answer")
+{
+    http_fields header;
+    CHECK_FALSE(codec.read_answer(200, header).leaving);
+    header.set("Server-Leaving", "1");
+    CHECK(codec.read_answer(200, header).leaving);
+    CHECK(codec.read_answer(503, header).leaving);
+    header.set("Server-Leaving", "0");
+    CHECK_FALSE(codec.read_answer(200, header).leaving);
+}
+
+TEST_CASE("a refusal names a time for which no request is wanted")
+{
+    http_fields header;
+    CHECK_FALSE(codec.read_answer(503, header).backoff);
+    header.set("Retry-After", "1.25");
+    CHECK(codec.read_answer(503, header).backoff == duration{1250ms});
+    CHECK_FALSE(codec.read_answer(429, header).backoff);
+    CHECK_FALSE(codec.read_answer(200, header).backoff);
+    header.set("Retry-After", "0");
+    CHECK(codec.read_answer(503, header).backoff == duration{0ms});
+    SECTION("which is bounded")
+    {
+        header.set("Retry-After", GENERATE("1e300", "inf", "99999999999999"));
+        CHECK(codec.read_answer(503, header).backoff == duration{24h * 366});
+    }
+    SECTION("or cannot be used")
+    {
+        header.set(
+            "Retry-After",
+            GENERATE("-1", "nan", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"));
+        const auto facts = codec.read_answer(503, header);
+        CHECK_FALSE(facts.backoff);
+        CHECK(facts.has_bad_backoff);
+    }
+}
--- a/unit_tests/relay/relay_fixture.cpp
+++ b/unit_tests/relay/relay_fixture.cpp
@@ -121,7 +121,7 @@
     return errc::unavailable;
 }
 
-result<bool> silent_engines::accepts_requests(const engine&)
+result<engine_health> silent_engines::health(const engine&)
 {
     return errc::unavailable;
 }
@@ -187,6 +187,19 @@
     return *this->servers.back();
 }
 
+void relay_fixture::mark_leaving(const server_id& server)
+{
+    for (engine& each : this->fleet.engines)
+    {
+        each.mark = each.id == server ? server_mark::leaving : each.mark;
+    }
+    for (service_server& each : this->fleet.services)
+    {
+        each.mark = each.id == server ? server_mark::leaving : each.mark;
+    }
+    this->publish();
+}
+
 void relay_fixture::publish()
 {
     this->board.traffic.publish(this->config);
@@ -227,6 +240,7 @@
     backend_pool pool{this->io.get_executor(), this->time};
     rate_limit_gate rate_limits{
         this->io.get_executor(), this->time, instance_id{"entry-1"}};
+    server_backoff backoff{this->time, {}};
     request_metrics metrics;
     std::mt19937_64 random{1};
     relay_context relay{
@@ -242,10 +256,18 @@
         stalls,
         pool,
         rate_limits,
+        backoff,
         metrics,
         random,
         {}};
     relay.store_is_lost = this->store_is_lost;
+    relay.on_leaving =
+        [this, &pipelines](const server_id& server, std::uint64_t boot)
+    {
+        this->leaving.emplace_back(server, boot);
+        this->mark_leaving(server);
+        pipelines.refresh();
+    };
     if (this->stopping_for)
     {
         const time_point began = this->time.now() - *this->stopping_for;
--- a/unit_tests/relay/relay_fixture.hpp
+++ b/unit_tests/relay/relay_fixture.hpp
@@ -4,9 +4,11 @@
 #include "relay/caller_session.hpp"
 #include "relay/scripted_server.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fireflysail
@@ -18,7 +20,7 @@
 public:
     result<engine_condition> status(const engine& server) override;
 
-    result<bool> accepts_requests(const engine& server) override;
+    result<engine_health> health(const engine& server) override;
 
     order_outcome
     place(const engine& server, const placement_order& order) override;
@@ -61,11 +63,14 @@
     silent_engines engines;
     std::shared_ptr<traffic_config> config;
     bool store_is_lost = false;
+    /// Boots of servers that said that they leave.
+    std::vector<std::pair<server_id, std::uint64_t>> leaving;
     /// The instance began to stop so long ago, and ends after the grace.
     std::optional<duration> stopping_for;
 
 private:
     void publish();
+    void mark_leaving(const server_id& server);
     /// Sends the requests of each list on one connection, one after the other.
     std::vector<received_answer>
     ask_on(const std::vector<std::vector<std::string>>& connections);
