Store: a report that the store refutes is forgotten

A peer that reports a view that the store does not have, as a revision that is too large, made the others end their watches and list without end, and hid all later reports. A read of the store that began after such a report now refutes it: it is dropped, not taken again, and later ones count.

The new case of view_freshness_test fails without it.

--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -417,9 +417,9 @@
     const view_position& view)
 {
     freshness.on_view(view);
-    if (source.has_read_store())
+    if (const auto began = source.store_read_at())
     {
-        freshness.on_confirmed();
+        freshness.on_confirmed(*began);
     }
     asio::post(
         this->io,
--- a/source/store/view_freshness.cpp
+++ b/source/store/view_freshness.cpp
@@ -29,10 +29,21 @@
     this->rank = new_rank;
 }
 
-void view_freshness::on_confirmed()
+void view_freshness::on_confirmed(time_point began)
 {
     const absl::MutexLock lock{&this->mutex};
     this->own_confirmation = this->time.now();
+    while (!this->ahead.empty() && this->ahead.front().since < began)
+    {
+        this->refuted = this->ahead.front().view;
+        this->ahead.pop_front();
+    }
+    if (this->ahead.empty() && this->own)
+    {
+        // Else what a mistaken peer reported would hide later reports.
+        this->newest_reported =
+            std::min(this->newest_reported, this->own->newest_change);
+    }
 }
 
 void view_freshness::on_view(const view_position& view)
@@ -51,7 +62,8 @@
         this->peer_confirmation =
             std::max(this->peer_confirmation.value_or(now - *age), now - *age);
     }
-    if (of_peer.newest_change <= this->newest_reported)
+    if (of_peer.newest_change <= this->newest_reported ||
+        of_peer == this->refuted)
     {
         return;
     }
--- a/source/store/view_freshness.hpp
+++ b/source/store/view_freshness.hpp
@@ -105,8 +105,10 @@
     /// What this instance's view holds now.
     void on_view(const view_position& view);
 
-    /// The store itself has answered a read, and the view is complete up to it.
-    void on_confirmed();
+    /// The store itself has answered a read that began then, and the view is
+    /// complete up to it. Reports of before that are refuted by it where they
+    /// are still ahead: a peer is mistaken.
+    void on_confirmed(time_point began);
 
     /// A peer's view holds this, read from the store itself. `age` is the time
     /// since it was confirmed; none if the peer does not come before this
@@ -150,6 +152,7 @@
     /// Views that are ahead, in order. This instance lags by the age of the
     /// first of them, however many newer ones there are.
     std::deque<reported_view> ahead ABSL_GUARDED_BY(mutex);
+    std::optional<view_position> refuted ABSL_GUARDED_BY(mutex);
     time_point distrusted_until ABSL_GUARDED_BY(mutex);
 };
 
--- a/source/store/vouched_store.cpp
+++ b/source/store/vouched_store.cpp
@@ -31,7 +31,7 @@
 result<store_snapshot>
 vouched_store::list(const std::vector<std::string>& kinds, time_point deadline)
 {
-    this->read_store = true;
+    this->read_at = this->time.now();
     return this->current.list(kinds, deadline);
 }
 
@@ -65,8 +65,9 @@
         const absl::MutexLock lock{&this->mutex};
         this->running = begun;
     }
-    this->read_store = begun.plan.reads == watch_plan::source::store;
-    store& source = this->read_store ? this->current : this->copy;
+    const bool reads_store = begun.plan.reads == watch_plan::source::store;
+    this->read_at = reads_store ? std::optional{begun.since} : std::nullopt;
+    store& source = reads_store ? this->current : this->copy;
     auto batch = source.watch(
         kinds,
         from,
@@ -75,7 +76,7 @@
         const absl::MutexLock lock{&this->mutex};
         this->running.reset();
     }
-    if (!this->read_store && batch && batch.value().next < from)
+    if (!reads_store && batch && batch.value().next < from)
     {
         // The copy has not come as far as what was read before.
         return watch_batch{from, {}};
@@ -104,9 +105,9 @@
     return defect;
 }
 
-bool vouched_store::has_read_store() const
+std::optional<time_point> vouched_store::store_read_at() const
 {
-    return this->read_store;
+    return this->read_at;
 }
 
 } // namespace fireflysail
--- a/source/store/vouched_store.hpp
+++ b/source/store/vouched_store.hpp
@@ -51,16 +51,16 @@
     /// the watch fails as unavailable. Any thread.
     std::optional<watch_defect> interrupt_if_defective();
 
-    /// Whether the store itself gave the last answer. For the thread that
-    /// watches and its consumers.
-    bool has_read_store() const;
+    /// When the read began to which the store itself gave the last answer; none
+    /// if the copy gave it. For the thread that watches and its consumers.
+    std::optional<time_point> store_read_at() const;
 
 private:
     store& current;
     store& copy;
     view_freshness& freshness;
     const clock& time;
-    bool read_store = false;
+    std::optional<time_point> read_at;
     absl::Mutex mutex;
     /// The watch in progress.
     std::optional<running_watch> running ABSL_GUARDED_BY(mutex);
--- a/unit_tests/store/silent_watch_test.cpp
+++ b/unit_tests/store/silent_watch_test.cpp
@@ -161,6 +161,7 @@
         if (const auto* list = std::get_if<store_watcher::list_now>(&what))
         {
             this->listing = this->time.now() + transit;
+            this->read_began = this->time.now();
             this->deadline = list->deadline;
             ++this->calls;
         }
@@ -170,6 +171,7 @@
                 this->freshness.plan(watch->from),
                 watch->from,
                 this->time.now()};
+            this->read_began = this->running->since;
             this->deadline =
                 this->running->since + this->running->plan.longest + 500ms;
             ++this->calls;
@@ -247,7 +249,7 @@
         this->freshness.on_view(view);
         if (this->has_read_store)
         {
-            this->freshness.on_confirmed();
+            this->freshness.on_confirmed(this->read_began);
         }
         if (view != this->reported)
         {
@@ -287,6 +289,7 @@
     view_position reported;
     bool is_silent = false;
     bool has_read_store = false;
+    time_point read_began{};
 };
 
 class simulated_fleet
--- a/unit_tests/store/view_freshness_test.cpp
+++ b/unit_tests/store/view_freshness_test.cpp
@@ -57,7 +57,7 @@
     CHECK(alone.longest == this->options.confirm_interval);
     CHECK(this->freshness.confirms());
     CHECK_FALSE(this->freshness.confirmed_at());
-    this->freshness.on_confirmed();
+    this->freshness.on_confirmed(this->time.now());
     CHECK(this->freshness.confirmed_at() == this->time.now());
 }
 
@@ -253,3 +253,36 @@
     this->report(100'001);
     CHECK(this->reads_copy(100'001));
 }
+
+// Guards against lists without end after a wrong report.
+TEST_CASE_METHOD(fixture, "a report that the store refutes is forgotten")
+{
+    this->freshness.set_rank(0);
+    this->freshness.on_view({revision{10}, 10});
+    const view_position wrong{revision{~0ULL}, 77};
+    this->freshness.on_report(wrong, std::nullopt);
+    const auto watch_now = [this]
+    {
+        return running_watch{
+            this->freshness.plan(revision{10}), revision{10}, this->time.now()};
+    };
+    const running_watch first = watch_now();
+    this->time.advance(this->options.store_patience);
+    REQUIRE(this->freshness.find_defect(first));
+    SECTION("but not by a read that began before it")
+    {
+        this->freshness.on_confirmed(first.since);
+        CHECK(this->freshness.find_defect(first));
+    }
+    this->freshness.on_confirmed(this->time.now());
+    this->freshness.on_report(wrong, std::nullopt);
+    const running_watch second = watch_now();
+    this->time.advance(this->options.store_patience);
+    CHECK_FALSE(this->freshness.find_defect(second));
+    SECTION("and hides no later one")
+    {
+        this->freshness.on_report({revision{11}, 11}, std::nullopt);
+        this->time.advance(this->options.store_patience);
+        CHECK(this->freshness.find_defect(second));
+    }
+}
--- a/unit_tests/store/vouched_store_test.cpp
+++ b/unit_tests/store/vouched_store_test.cpp
@@ -104,14 +104,14 @@
 {
     REQUIRE(this->watch(10));
     CHECK(this->current.watches == 1);
-    CHECK(this->both.has_read_store());
+    CHECK(this->both.store_read_at() == this->time.now());
     // Nobody else would find out that its connection went silent.
     CHECK(this->current.last_deadline < this->time.now() + 2s);
     this->report(10);
     REQUIRE(this->watch(10));
     CHECK(this->current.watches == 1);
     CHECK(this->copy.watches == 1);
-    CHECK_FALSE(this->both.has_read_store());
+    CHECK_FALSE(this->both.store_read_at());
     CHECK(this->copy.last_deadline == this->time.now() + 10s);
     SECTION("and lists always read the store itself")
     {
