Store: a read refutes only the reports before it

Where more than 64 reported views were ahead, the last one stood for all newer ones with the age of the first of them. A read that began in between refuted it, and with it changes that the read does not hold: a silent watch could have hidden them until the next report of a newer one.

A collapsed report keeps the time at which it was last told of as well. The new case of view_freshness_test fails without that.

--- a/source/store/view_freshness.cpp
+++ b/source/store/view_freshness.cpp
@@ -33,7 +33,7 @@
 {
     const absl::MutexLock lock{&this->mutex};
     this->own_confirmation = this->time.now();
-    while (!this->ahead.empty() && this->ahead.front().since < began)
+    while (!this->ahead.empty() && this->ahead.front().told_at < began)
     {
         this->refuted = this->ahead.front().view;
         this->ahead.pop_front();
@@ -72,9 +72,10 @@
     {
         // The last one stands for all newer ones, with its own age.
         this->ahead.back().view = of_peer;
+        this->ahead.back().told_at = now;
         return;
     }
-    this->ahead.push_back({of_peer, now});
+    this->ahead.push_back({of_peer, now, now});
 }
 
 watch_plan view_freshness::plan(revision position)
@@ -136,6 +137,12 @@
     return !this->is_confirmed_by_peer(this->time.now());
 }
 
+bool view_freshness::is_reader() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->rank < this->options.readers;
+}
+
 bool view_freshness::is_confirmed_by_peer(time_point now) const
 {
     const auto steps = std::min(this->rank, max_takeover_steps);
--- a/source/store/view_freshness.hpp
+++ b/source/store/view_freshness.hpp
@@ -126,12 +126,18 @@
     /// Whether this instance confirms its view by itself.
     bool confirms() const;
 
+    /// Whether its watches never read the copy.
+    bool is_reader() const;
+
 private:
-    /// The view of a peer, and when this instance was first told of it.
+    /// The view of a peer.
     struct reported_view
     {
         view_position view;
+        /// When this instance was first told of a view ahead of the last one.
         time_point since;
+        /// When it was told of this one.
+        time_point told_at;
     };
 
     bool is_confirmed_by_peer(time_point now) const
--- a/unit_tests/store/view_freshness_test.cpp
+++ b/unit_tests/store/view_freshness_test.cpp
@@ -286,3 +286,23 @@
         CHECK(this->freshness.find_defect(second));
     }
 }
+
+TEST_CASE_METHOD(
+    fixture, "a report after the start of a read is not refuted by it")
+{
+    // Also where so many came before that they are not told apart.
+    this->freshness.set_rank(0);
+    for (std::uint64_t change = 20; change < 200; ++change)
+    {
+        this->freshness.on_report({revision{change}, change}, std::nullopt);
+    }
+    this->time.advance(1ms);
+    const time_point began = this->time.now();
+    this->time.advance(1ms);
+    this->freshness.on_report({revision{200}, 200}, std::nullopt);
+    this->freshness.on_confirmed(began);
+    const running_watch watch{
+        this->freshness.plan(revision{199}), revision{199}, began};
+    this->time.advance(this->options.store_patience);
+    CHECK(this->freshness.find_defect(watch));
+}
