Relay: each path asks the same question of leaving and resting servers

Plain requests and streams each looked up by themselves whether a server that they had waited for may still be used, and a second pass over all pipelines followed each choice that found none, only to include servers that had just stopped to back off: twice the work while nothing is there.

find_server() is the one lookup, is_leaving() and may_be_sent_to() the one question. Servers that come back are left out of a choice like congested pipelines, in the pass that was there. Which unreadable times were told is kept by server_backoff, in bounded space. The time until the balancer has noticed a stop stands in drain_policy alone.

--- a/source/blackboard/fleet.cpp
+++ b/source/blackboard/fleet.cpp
@@ -5,20 +5,22 @@
 namespace fireflysail
 {
 
-std::optional<std::uint64_t>
-boot_of(const fleet_snapshot& fleet, const server_id& server)
+std::optional<listed_server>
+find_server(const fleet_snapshot& fleet, const server_id& server)
 {
     const auto in_engines =
         std::ranges::find(fleet.engines, server, &engine::id);
     if (in_engines != fleet.engines.end())
     {
-        return in_engines->started_at_ms;
+        return listed_server{in_engines->mark, in_engines->started_at_ms};
     }
     const auto in_services =
         std::ranges::find(fleet.services, server, &service_server::id);
-    return in_services == fleet.services.end()
-               ? std::nullopt
-               : std::optional{in_services->started_at_ms};
+    if (in_services != fleet.services.end())
+    {
+        return listed_server{in_services->mark, in_services->started_at_ms};
+    }
+    return std::nullopt;
 }
 
 bool accepts_new_work(server_mark mark)
--- a/source/blackboard/fleet.hpp
+++ b/source/blackboard/fleet.hpp
@@ -146,10 +146,16 @@
     std::vector<zone_link> links;
 };
 
-/// Start time of the engine or plain server with this id; none if it is not
-/// listed.
-std::optional<std::uint64_t>
-boot_of(const fleet_snapshot& fleet, const server_id& server);
+/// What is listed of an engine or a plain server.
+struct listed_server
+{
+    server_mark mark = server_mark::serving;
+    std::uint64_t started_at_ms = 0;
+};
+
+/// The engine or plain server with this id; none if it is not listed.
+std::optional<listed_server>
+find_server(const fleet_snapshot& fleet, const server_id& server);
 
 /// True when a server with this mark may be given new work.
 bool accepts_new_work(server_mark mark);
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -661,9 +661,9 @@
     const auto fleet = this->board.fleet.load();
     for (const server_id& server : this->backoff.closed())
     {
-        if (const auto boot = boot_of(*fleet, server))
+        if (const auto listed = find_server(*fleet, server))
         {
-            this->backoff.on_boot(server, *boot);
+            this->backoff.on_boot(server, listed->started_at_ms);
         }
     }
 }
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -309,10 +309,22 @@
     }
 }
 
+bool is_leaving(const relay_context& relay, const server_id& server)
+{
+    const auto listed = find_server(*relay.board.fleet.load(), server);
+    return !listed || !accepts_new_work(listed->mark);
+}
+
+bool may_be_sent_to(const relay_context& relay, const server_id& server)
+{
+    return !is_leaving(relay, server) && !relay.backoff.until(server);
+}
+
 contacted_server contact(
     const relay_context& relay, const server_id& id, const endpoint& address)
 {
-    return {id, boot_of(*relay.board.fleet.load(), id).value_or(0), address};
+    const auto listed = find_server(*relay.board.fleet.load(), id);
+    return {id, listed ? listed->started_at_ms : 0, address};
 }
 
 void note_answer(
@@ -328,8 +340,7 @@
     }
     if (!facts.backoff)
     {
-        if (facts.has_bad_backoff &&
-            relay.bad_backoffs.insert(server.id).second)
+        if (facts.has_bad_backoff && relay.backoff.on_unreadable(server.id))
         {
             log::event(
                 log::level::warning,
@@ -369,13 +380,9 @@
     {
         add(relay.rate_limits.exhausted());
     }
-    if (which == held_back::all || which == held_back::closed)
-    {
-        add(relay.backoff.closed());
-    }
     if (which == held_back::all)
     {
-        add(relay.backoff.returning(relay.random));
+        add(relay.backoff.closed());
     }
 }
 
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -133,6 +133,13 @@
 /// could be made: nothing was sent.
 asio::awaitable<bool> ensure_open(exchange& served, backend_pool::taken& taken);
 
+/// Whether an operator, the platform or the server itself ends the server, or
+/// has ended it.
+bool is_leaving(const relay_context& relay, const server_id& server);
+
+/// Whether a request that waited for the server may still be sent to it.
+bool may_be_sent_to(const relay_context& relay, const server_id& server);
+
 /// The server that an attempt was sent to, as it was known then.
 struct contacted_server
 {
@@ -151,14 +158,11 @@
     const contacted_server& server,
     const answer_facts& facts);
 
-/// Servers that may be left out of a choice although they are there.
+/// Servers that are left out of a choice although they are there.
 enum class held_back
 {
-    /// Those at their limit, those that back off, and most of those that have
-    /// just stopped to.
-    all,
     /// Those at their limit and those that back off.
-    closed,
+    all,
     /// Those at their limit.
     limited,
     none,
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <span>
 #include <utility>
 
 namespace fireflysail
@@ -143,13 +144,24 @@
 {
     relay_context& relay = served.relay;
     exclude(relay, left_out, excluded);
-    return relay.servers.choose(
-        fleet,
-        served.service,
-        relay.node.zone,
-        excluded,
-        relay.time.now(),
-        relay.random);
+    const auto choose = [&](std::span<const server_id> without)
+    {
+        return relay.servers.choose(
+            fleet,
+            served.service,
+            relay.node.zone,
+            without,
+            relay.time.now(),
+            relay.random);
+    };
+    const std::size_t usable_count = excluded.size();
+    std::ranges::copy(
+        relay.backoff.returning(relay.random), std::back_inserter(excluded));
+    const service_server* const chosen = choose(excluded);
+    // One that has just stopped to back off is better than none.
+    return chosen != nullptr || excluded.size() == usable_count
+               ? chosen
+               : choose(std::span{excluded}.first(usable_count));
 }
 
 std::vector<server_id>
@@ -166,16 +178,6 @@
     return servers;
 }
 
-/// Whether the server may still get the request that was waiting for it.
-bool is_open_to(const relay_context& relay, const service_server& chosen)
-{
-    const auto fleet = relay.board.fleet.load();
-    const auto found =
-        std::ranges::find(fleet->services, chosen.id, &service_server::id);
-    return found != fleet->services.end() && accepts_new_work(found->mark) &&
-           !relay.backoff.until(chosen.id);
-}
-
 /// Whether another server may be asked after this end.
 bool may_repeat(attempt_end end, work_kind work)
 {
@@ -216,8 +218,7 @@
         {
             return choose_server(served, *fleet, excluded, left_out);
         };
-        const service_server* server = choose(held_back::all);
-        server = server != nullptr ? server : choose(held_back::closed);
+        const service_server* const server = choose(held_back::all);
         if (server == nullptr && choose(held_back::limited) != nullptr)
         {
             // All that would have room want no request.
@@ -246,7 +247,7 @@
             break;
         }
         const bool has_room = co_await relay.rate_limits.acquire(server->id);
-        if (!has_room || served.is_over() || !is_open_to(relay, *server))
+        if (!has_room || served.is_over() || !may_be_sent_to(relay, server->id))
         {
             continue;
         }
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -19,7 +19,6 @@
 #include "serving/pipeline_router.hpp"
 #include "settings/node_settings.hpp"
 
-#include <absl/container/flat_hash_set.h>
 #include <absl/container/node_hash_map.h>
 
 #include <cstddef>
@@ -64,8 +63,6 @@
     /// Tells the other instances of a congested pipeline, by its first stage.
     std::function<void(const server_id&)> share_congestion =
         [](const server_id&) {};
-    /// Servers whose backoff could not be read, for the log.
-    absl::flat_hash_set<server_id> bad_backoffs = {};
     /// Called when a server says in an answer that this boot of it leaves.
     std::function<void(const server_id&, std::uint64_t boot)> on_leaving =
         [](const server_id&, std::uint64_t) {};
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -159,22 +159,6 @@
                choose_pipeline(state, held_back::limited));
 }
 
-/// The pipeline for the next run, past the engines that have just stopped to
-/// back off if there is another one.
-route_outcome choose_next_pipeline(const stream_state& state)
-{
-    auto choice = choose_pipeline(state, held_back::all);
-    return std::holds_alternative<routed_pipeline>(choice)
-               ? choice
-               : choose_pipeline(state, held_back::closed);
-}
-
-/// Whether the engine may still get the stream that waited for its turn.
-bool is_open_to(const relay_context& relay, const server_id& first)
-{
-    return !is_leaving(relay.board, first) && !relay.backoff.until(first);
-}
-
 /// Whether the content was quarantined while the request waited, or since it
 /// last ran. The one that tries whether a quarantine is still due runs once.
 bool is_quarantined(stream_state& state)
@@ -243,12 +227,15 @@
     std::ranges::copy(
         relay.congestion.congested(relay.time.now()),
         std::back_inserter(excluded));
+    std::ranges::copy(
+        relay.backoff.returning(relay.random), std::back_inserter(excluded));
     wanted.excluded = excluded;
     auto choice = pipelines.choose(wanted);
     if (std::holds_alternative<no_route>(choice) &&
         excluded.size() > usable_count)
     {
-        // A congested pipeline is better than none.
+        // A congested pipeline is better than none, and so is one of engines
+        // that have just stopped to back off.
         wanted.excluded = std::span{excluded}.first(usable_count);
         choice = pipelines.choose(wanted);
     }
@@ -264,7 +251,7 @@
     asio::steady_timer pause{relay.executor};
     while (!served.is_over() && !is_quarantined(state) && !is_stopping(state))
     {
-        const auto choice = choose_next_pipeline(state);
+        const auto choice = choose_pipeline(state);
         const auto* routed = std::get_if<routed_pipeline>(&choice);
         if (routed == nullptr && is_backed_off(state))
         {
@@ -307,7 +294,7 @@
         const bool has_room =
             co_await relay.rate_limits.acquire(routed->stages.front().server);
         if (!has_room || served.is_over() ||
-            !is_open_to(relay, routed->stages.front().server))
+            !may_be_sent_to(relay, routed->stages.front().server))
         {
             continue;
         }
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -341,7 +341,7 @@
     exchange& served = state.served;
     const stage_address& first = routed.stages.front();
     const bool is_lost = co_await is_crashed(served, first.address);
-    if (!is_lost || is_leaving(served.relay.board, first.server))
+    if (!is_lost || is_leaving(served.relay, first.server))
     {
         co_return;
     }
@@ -403,13 +403,6 @@
 
 } // namespace
 
-bool is_leaving(const blackboard& board, const server_id& server)
-{
-    const auto fleet = board.fleet.load();
-    const auto found = std::ranges::find(fleet->engines, server, &engine::id);
-    return found == fleet->engines.end() || !accepts_new_work(found->mark);
-}
-
 asio::awaitable<stream_end>
 run_stream(stream_state& state, const routed_pipeline& routed)
 {
@@ -488,7 +481,7 @@
             co_await note_crash(state, routed);
         }
     }
-    if (!is_leaving(relay.board, first.server))
+    if (!is_leaving(relay, first.server))
     {
         relay.pool.give_back(std::move(taken.connection));
     }
--- a/source/relay/stream_run.hpp
+++ b/source/relay/stream_run.hpp
@@ -79,10 +79,6 @@
 route_outcome
 choose_pipeline(const stream_state& state, held_back left_out = held_back::all);
 
-/// Whether an operator, the platform or the engine itself ends the engine, or
-/// has ended it.
-bool is_leaving(const blackboard& board, const server_id& server);
-
 /// Runs the stream on the pipeline and forwards its events.
 asio::awaitable<stream_end>
 run_stream(stream_state& state, const routed_pipeline& routed);
--- a/source/routing/drain_policy.cpp
+++ b/source/routing/drain_policy.cpp
@@ -13,6 +13,11 @@
     this->stopping = stop{now, end};
 }
 
+bool drain_policy::is_unnoticed(time_point now) const
+{
+    return !this->stopping || now - this->stopping->began < this->chosen.notice;
+}
+
 bool drain_policy::may_send(
     work_kind work, time_point deadline, time_point now) const
 {
@@ -22,8 +27,8 @@
     }
     const bool is_in_time =
         deadline <= this->stopping->end - this->chosen.answer_margin;
-    const bool is_unnoticed = now - this->stopping->began < this->chosen.notice;
-    return is_in_time || (is_unnoticed && work != work_kind::non_idempotent);
+    return is_in_time ||
+           (this->is_unnoticed(now) && work != work_kind::non_idempotent);
 }
 
 } // namespace fireflysail
--- a/source/routing/drain_policy.hpp
+++ b/source/routing/drain_policy.hpp
@@ -21,7 +21,8 @@
 public:
     struct options
     {
-        /// Time until the balancer has taken the instance out.
+        /// Time until the balancer has taken the instance out: it asks every
+        /// second and does so after two misses.
         duration notice = std::chrono::milliseconds{2500};
         /// From the last moment for an answer to the end of the process.
         duration answer_margin = std::chrono::milliseconds{200};
@@ -32,6 +33,9 @@
     /// The stop begins; the process ends at `end` at the latest.
     void begin(time_point now, time_point end);
 
+    /// Whether callers go on coming, or come as ever.
+    bool is_unnoticed(time_point now) const;
+
     /// Whether a request whose answer is due by `deadline` may be sent. One
     /// that may run only once is not sent if it could be cut off.
     bool may_send(work_kind work, time_point deadline, time_point now) const;
--- a/source/routing/server_backoff.cpp
+++ b/source/routing/server_backoff.cpp
@@ -30,6 +30,13 @@
     return is_new;
 }
 
+bool server_backoff::on_unreadable(const server_id& server)
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->unreadable.size() < max_servers &&
+           this->unreadable.insert(server).second;
+}
+
 void server_backoff::on_boot(const server_id& server, std::uint64_t boot)
 {
     const absl::MutexLock lock{&this->mutex};
--- a/source/routing/server_backoff.hpp
+++ b/source/routing/server_backoff.hpp
@@ -5,13 +5,13 @@
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/synchronization/mutex.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
-#include <span>
 #include <vector>
 
 namespace fireflysail
@@ -48,6 +48,10 @@
         duration wait,
         bool was_full);
 
+    /// The server refused a request and named a time that cannot be read.
+    /// Returns true the first time, for the log.
+    bool on_unreadable(const server_id& server);
+
     /// The server is listed with this boot, which ends the backoff of another.
     void on_boot(const server_id& server, std::uint64_t boot);
 
@@ -77,6 +81,7 @@
     const options chosen;
     mutable absl::Mutex mutex;
     absl::flat_hash_map<server_id, record> records ABSL_GUARDED_BY(mutex);
+    absl::flat_hash_set<server_id> unreadable ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace fireflysail
--- a/unit_tests/routing/drain_policy_test.cpp
+++ b/unit_tests/routing/drain_policy_test.cpp
@@ -34,6 +34,7 @@
     const auto work = GENERATE(
         work_kind::stream, work_kind::idempotent, work_kind::non_idempotent);
     CHECK(policy.may_send(work, time_point::max(), time_point{1h}));
+    CHECK(policy.is_unnoticed(time_point{1h}));
 }
 
 TEST_CASE_METHOD(fixture, "what is answered before the end is sent")
@@ -50,6 +51,8 @@
     fixture, "until the balancer notices, only what may be repeated is risked")
 {
     const duration passed = this->options.notice - 1ms;
+    CHECK(this->policy.is_unnoticed(this->start + passed));
+    CHECK_FALSE(this->policy.is_unnoticed(this->start + passed + 1ms));
     CHECK(this->may_send(work_kind::stream, 20s, passed));
     CHECK(this->may_send(work_kind::idempotent, 20s, passed));
     CHECK_FALSE(this->may_send(work_kind::non_idempotent, 20s, passed));
--- a/unit_tests/routing/server_backoff_test.cpp
+++ b/unit_tests/routing/server_backoff_test.cpp
@@ -108,6 +108,18 @@
     CHECK(this->held_back_of_thousand() == 0);
 }
 
+TEST_CASE_METHOD(fixture, "a time that cannot be read is told once a server")
+{
+    CHECK(this->backoff.on_unreadable(desk));
+    CHECK_FALSE(this->backoff.on_unreadable(desk));
+    for (std::size_t i = 0; i < 2 * server_backoff::max_servers; ++i)
+    {
+        this->backoff.on_unreadable(server_id{"desk-" + std::to_string(i)});
+    }
+    CHECK_FALSE(this->backoff.on_unreadable(server_id{"one more"}));
+    CHECK(this->backoff.closed().empty());
+}
+
 TEST_CASE_METHOD(fixture, "servers that are over are forgotten")
 {
     for (int i = 0; i < 10'000; ++i)
