--- /dev/null
+++ b/source/main/relay_peers.cpp
@@ -0,0 +1,294 @@
+// What the process tells the other instances, and what it takes from them.
+
+#include "main/relay_process.hpp"
+
+#include "common/log.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace fireflysail
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Progress is told at least this often, and at once when it grows.
+constexpr duration progress_interval = 300ms;
+
+/// Announcements after the start: one may be lost.
+constexpr int max_announcements = 2;
+
+/// Other instances that are told again, each time others, of quarantined
+/// prompts.
+constexpr std::size_t repeated_to = 3;
+
+/// What a leader told counts for this long: three tellings.
+constexpr duration leader_lifetime = 1600ms;
+
+} // namespace
+
+void relay_process::post_progress()
+{
+    asio::post(
+        this->io,
+        [this]
+        {
+            this->share_progress();
+        });
+}
+
+store_progress relay_process::current_progress() const
+{
+    store_progress reached;
+    reached.from = this->settings.self;
+    reached.leads = this->duty.holds_lease();
+    const view_freshness& config = this->config_view.freshness;
+    const view_freshness& servers = this->servers_view.freshness;
+    const bool confirms = config.confirms() || servers.confirms();
+    if (!this->traffic.is_initialized() || !(confirms || config.is_reader()))
+    {
+        return reached;
+    }
+    reached.config = this->config_view.position();
+    reached.servers = this->servers_view.position();
+    const auto config_at = config.confirmed_at();
+    const auto servers_at = servers.confirmed_at();
+    if (confirms && config_at && servers_at)
+    {
+        reached.age = this->time.now() - std::min(*config_at, *servers_at);
+    }
+    return reached;
+}
+
+void relay_process::share_progress()
+{
+    const time_point now = this->time.now();
+    const store_progress reached = this->current_progress();
+    const bool has_grown = reached.config != this->shared_progress.config ||
+                           reached.servers != this->shared_progress.servers ||
+                           reached.leads != this->shared_progress.leads;
+    const bool is_due =
+        (reached.age || reached.leads) && now >= this->next_progress;
+    if (!has_grown && !is_due)
+    {
+        return;
+    }
+    this->next_progress = now + progress_interval;
+    this->shared_progress = reached;
+    this->send_to_peers(reached);
+}
+
+bool relay_process::hears_leader() const
+{
+    return this->time.now() - this->leader_heard_at.load() < leader_lifetime;
+}
+
+void relay_process::on_peer_message(const peer_message& message)
+{
+    if (const auto* limit = std::get_if<limit_notice>(&message))
+    {
+        this->rate_limits.on_message(limit->from, limit->message);
+        return;
+    }
+    if (const auto* progress = std::get_if<store_progress>(&message))
+    {
+        if (progress->leads)
+        {
+            this->leader_heard_at = this->time.now();
+        }
+        const auto age = this->census.is_outranked_by(progress->from)
+                             ? progress->age
+                             : std::nullopt;
+        this->config_view.freshness.on_report(progress->config, age);
+        this->servers_view.freshness.on_report(progress->servers, age);
+        return;
+    }
+    if (const auto* crash = std::get_if<crash_notice>(&message))
+    {
+        this->crashes.on_peer_news(crash->news);
+        return;
+    }
+    const auto& told = std::get<notice>(message);
+    const bool leaves = told.news == engine_observation::leaving;
+    if (leaves)
+    {
+        this->servers.on_leaving_hint(told.server, this->time.now());
+    }
+    if (leaves || told.news == engine_observation::congested)
+    {
+        this->relay.congestion.report(told.server, this->time.now());
+        return;
+    }
+    this->inquiry.on_peer_observation(told.from, told.server, told.news);
+    this->doubt(told.server, told.news);
+    if (this->duty.is_leader())
+    {
+        this->duty.wake();
+    }
+}
+
+void relay_process::open_notices()
+{
+    this->inquiry.set_handlers(
+        {[this](const server_id& server, engine_observation news)
+         {
+             this->tell_others(server, news);
+         },
+         [this]
+         {
+             this->duty.wake();
+         },
+         [this](const server_id& server, std::uint64_t boot)
+         {
+             this->on_leaving(server, boot);
+         },
+         [this](const server_id& server)
+         {
+             return this->backoff.until(server).has_value();
+         }});
+    this->relay.on_leaving = [this](const server_id& server, std::uint64_t boot)
+    {
+        this->on_leaving(server, boot);
+    };
+    if (this->settings.notices.port == 0)
+    {
+        return;
+    }
+    this->relay.share_congestion = [this](const server_id& first_stage)
+    {
+        this->send_to_peers(notice{
+            this->settings.self, first_stage, engine_observation::congested});
+    };
+    if (const auto failed = this->notices.open(this->settings.notices))
+    {
+        // Hints only: all else goes on without them.
+        log::event(
+            log::level::error,
+            log::channel::main,
+            "cannot_take_notices",
+            {{"error", failed.message()}});
+    }
+}
+
+void relay_process::on_leaving(const server_id& server, std::uint64_t boot)
+{
+    if (!this->traffic.set_leaving(server, boot))
+    {
+        return;
+    }
+    log::event(
+        log::level::info,
+        log::channel::routing,
+        "server_says_it_leaves",
+        {{"server", server.str()}, {"boot", boot}});
+    asio::post(
+        this->io,
+        [this, server]
+        {
+            this->send_to_peers(notice{
+                this->settings.self, server, engine_observation::leaving});
+        });
+}
+
+void relay_process::tell_others(
+    const server_id& server, engine_observation news)
+{
+    asio::post(
+        this->io,
+        [this, server, news]
+        {
+            this->doubt(server, news);
+            this->send_to_peers(notice{this->settings.self, server, news});
+        });
+}
+
+void relay_process::send_limit_message(
+    const limit_message& message, const std::optional<instance_id>& receiver)
+{
+    const limit_notice told{this->settings.self, message};
+    if (!receiver)
+    {
+        this->send_to_peers(told);
+        return;
+    }
+    const auto peers = this->census.peers();
+    const auto found = std::ranges::find(*peers, *receiver, &peer_instance::id);
+    if (found != peers->end())
+    {
+        this->notices.send(told, std::span{&found->address, 1});
+    }
+}
+
+void relay_process::update_rate_limits()
+{
+    const auto peers = this->census.peers();
+    std::vector<instance_id> ids;
+    std::ranges::transform(*peers, std::back_inserter(ids), &peer_instance::id);
+    this->rate_limits.set_peers(
+        std::move(ids), this->census.count() > 0 ? 1 : unknown_instances);
+    this->rate_limits.send_due_reports();
+    if (this->announcements < max_announcements && !peers->empty())
+    {
+        // The others may still pass it over since it was stopped.
+        ++this->announcements;
+        this->rate_limits.announce();
+    }
+}
+
+void relay_process::tell_crash_news(const crash_news& news)
+{
+    asio::post(
+        this->io,
+        [this, news]
+        {
+            this->send_to_peers(crash_notice{this->settings.self, news});
+        });
+}
+
+void relay_process::repeat_crash_news()
+{
+    const auto news = this->crashes.news_to_repeat();
+    if (news.empty())
+    {
+        return;
+    }
+    const auto peers = this->census.peers();
+    std::vector<peer_instance> told;
+    std::ranges::sample(
+        *peers,
+        std::back_inserter(told),
+        static_cast<std::ptrdiff_t>(repeated_to),
+        this->random);
+    std::vector<endpoint> receivers;
+    std::ranges::transform(
+        told, std::back_inserter(receivers), &peer_instance::address);
+    for (const crash_news& each : news)
+    {
+        this->notices.send(crash_notice{this->settings.self, each}, receivers);
+    }
+}
+
+void relay_process::send_to_peers(const peer_message& message)
+{
+    std::vector<endpoint> receivers;
+    const auto peers = this->census.peers();
+    std::ranges::transform(
+        *peers, std::back_inserter(receivers), &peer_instance::address);
+    this->notices.send(message, receivers);
+}
+
+void relay_process::doubt(const server_id& server, engine_observation news)
+{
+    if (news != engine_observation::answered)
+    {
+        this->stalls.doubt(server);
+    }
+}
+
+} // namespace fireflysail
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -6,14 +6,11 @@
 #include "control/instance_registry.hpp"
 #include "control/layout_controller.hpp"
 #include "control/traffic_controller.hpp"
+#include "main/store_view.hpp"
 #include "notices/notice_channel.hpp"
 #include "relay/relay_server.hpp"
 #include "settings/node_settings.hpp"
-#include "store/view_freshness.hpp"
-#include "store/vouched_store.hpp"
-#include "store/watch_doorbell.hpp"
 #include "store/watch_hub.hpp"
-#include "store/watch_progress.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -68,7 +65,7 @@
     void drain();
     void keep_up();
 
-    /// Starts the watches beside those of configuration and servers.
+    /// Starts the short watches beside those of configuration and servers.
     void start_later_watches(time_point now);
 
     void ask_suspects();
@@ -107,14 +104,10 @@
     /// has no pipeline.
     void survey_if_blind();
 
-    /// Of the watch that looks soonest whether the store answers.
+    /// Of the watch that shows soonest whether the store answers.
     watch_hub_status store_status() const;
 
-    /// A watch has passed on an answer. The hub's thread.
-    void on_view(
-        view_freshness& freshness,
-        const vouched_store& source,
-        const view_position& view);
+    store_view::stores stores_of_views() const;
 
     /// Ends the watches that are of no use any more. Runs on the traffic
     /// thread: calls to the store hold up that of the duties.
@@ -125,6 +118,9 @@
     /// reads it for them, and whether it leads. Traffic thread.
     void share_progress();
 
+    /// The same from any thread.
+    void post_progress();
+
     /// What this instance has to tell of its views.
     store_progress current_progress() const;
 
@@ -145,18 +141,8 @@
     blackboard board;
     pipeline_router pipelines;
     traffic_controller traffic;
-    view_freshness config_freshness;
-    view_freshness servers_freshness;
-    vouched_store config_source;
-    vouched_store servers_source;
-    watch_progress config_progress;
-    watch_progress servers_progress;
-    watch_hub config_watch;
-    watch_hub servers_watch;
-    watch_doorbell config_bell;
-    watch_doorbell servers_bell;
-    watch_hub config_bell_watch;
-    watch_hub servers_bell_watch;
+    store_view config_view;
+    store_view servers_view;
     crash_registry crashes;
     watch_hub crashes_watch;
     instance_registry census;
@@ -179,7 +165,7 @@
     asio::steady_timer upkeep_timer;
     asio::steady_timer watch_timer;
     time_point next_reload{};
-    time_point drain_began{};
+    time_point drain_ends{};
     bool accepts = true;
     int announcements = 0;
     bool has_all_watches = false;
