review: case 6, bodies of answered requests fill an instance's memory

An engine may answer before it has read a long body, keep the channel and read on later; a process that exceeds its memory is killed.

Order of events: callers send bodies of the largest size, five a second. The servers answer each at once and read on slowly. The instance holds each body until its last byte is taken, uncounted and after the exchange has ended. After 59 calls its memory is over 260 MB, the platform kills it, and eight requests of kept channels that servers are running end without an answer.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,7 @@
 cd "$(dirname "$0")/.."
 line=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
 bash -c "$line"
-python3 -m py_compile scripts/platform_world.py scripts/local_fleet.py \
-    review/small_deployment.py
+for file in scripts/platform_world.py scripts/local_fleet.py \
+    review/small_deployment.py review/[678]/case.py; do
+    python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
+done
