--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -3,6 +3,7 @@
 
 Settings are those of a site of today (wire page of surtitle-fleet)."""
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -126,13 +127,14 @@
         return False
 
     def send_signal(self, number):
-        if self.process and self.process.returncode is None:
+        # It may have ended meanwhile.
+        with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(number)
 
     async def end(self):
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
+        if self.process:
+            self.send_signal(signal.SIGCONT)
+            self.send_signal(signal.SIGKILL)
             await self.process.wait()
 
 
@@ -185,11 +187,15 @@
     record = Record(folder)
 
     async def all_of_it():
+        # Whoever ends the script ends what it started.
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         with tempfile.TemporaryDirectory() as place:
             return await asyncio.wait_for(play(place, record), 110)
     try:
         code = asyncio.run(all_of_it())
-    except Exception as failed:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as failed:
         record.note(f"cannot run: {failed!r}")
         print(f"cannot run: {failed!r}", file=sys.stderr)
         code = CANNOT_RUN
