Relay: a reset seen by the write of a request ends its answer broken

What callers saw: a server answered a long upload early with a 200 without length, sent part of the body and reset the connection while the upload was written. The caller got that part as a complete answer; a stream got its last chunk.

Cause: the request is written while the answer is read, and the system reports the error of a connection once, to whichever of the two comes first. If the write got ECONNRESET, the read after it saw an ordinary end of the connection, which is the end of an answer without length. The error of the write was only used to decide whether the connection is kept.

Change: the connection keeps the error of the write. Where the end of the connection ends an answer, an error other than EPIPE ends it broken. EPIPE is what the write gets where the server's end was received before the reset: such an answer is whole. One turn of the event loop lets a write that has failed report it. The fix stands in backend_connection::read_body, which reads all answers of backend servers: calls, second copies, streams and pipelines.

Answers with a length or in chunks were handled before. Early answers of sound servers, half-closed or with the upload read later, were whole before and still are.

--- a/source/relay/backend_connection.cpp
+++ b/source/relay/backend_connection.cpp
@@ -108,14 +108,14 @@
     this->had_head = this->had_head || this->is_head;
     this->interim_answers = 0;
     this->reset_parser();
-    this->written = std::make_shared<bool>(false);
+    this->write = std::make_shared<request_write>();
     http::async_write(
         *this->socket,
         *request,
-        [request, kept = this->socket, done = this->written](
+        [request, kept = this->socket, write = this->write](
             io_error error, std::size_t)
         {
-            *done = !error;
+            *write = {true, error};
         });
 }
 
@@ -178,18 +178,34 @@
     body.data = into.data();
     body.size = into.size();
     body.more = true;
-    const auto [error, bytes] = co_await http::async_read_some(
+    auto [error, bytes] = co_await http::async_read_some(
         *this->socket, this->buffer, *this->parser, as_result);
     part.bytes = into.size() - body.size;
-    part.is_last = this->parser->is_done();
+    if (!error && this->parser->is_done() && this->ends_with_connection())
+    {
+        error = co_await this->find_cause_of_end();
+    }
     if (error && error != http::error::need_buffer)
     {
         part.error = error;
         this->broken = true;
     }
+    part.is_last = this->parser->is_done() && !part.error;
     co_return part;
 }
 
+// The system reports the error of a connection once, to whichever of read and
+// write comes first. If that is the write, the read sees the end of the
+// connection as if the other side had closed it.
+asio::awaitable<io_error> backend_connection::find_cause_of_end()
+{
+    // The write may have failed without its handler having run yet.
+    co_await asio::post(this->socket->get_executor(), asio::use_awaitable);
+    // A write reports a broken pipe where the end was received before a reset.
+    const io_error failed = this->write->error;
+    co_return failed == asio::error::broken_pipe ? io_error{} : failed;
+}
+
 void backend_connection::close()
 {
     this->broken = true;
@@ -198,7 +214,8 @@
 
 bool backend_connection::may_be_kept() const
 {
-    return this->is_whole() && this->foreign_answers == 0 && *this->written &&
+    return this->is_whole() && this->foreign_answers == 0 &&
+           this->write->is_done && !this->write->error &&
            this->buffer.size() == 0;
 }
 
--- a/source/relay/backend_connection.hpp
+++ b/source/relay/backend_connection.hpp
@@ -86,7 +86,17 @@
 private:
     using parser_type = http::response_parser<http::buffer_body>;
 
+    /// The write of a request.
+    struct request_write
+    {
+        bool is_done = false;
+        io_error error;
+    };
+
     void reset_parser();
+    /// After the end of the connection was read: the error that ended it, if
+    /// the other side did not close it in order.
+    asio::awaitable<io_error> find_cause_of_end();
     /// The last answer was whole, and the connection lives on.
     bool is_whole() const;
 
@@ -97,7 +107,7 @@
     beast::flat_buffer buffer;
     std::optional<parser_type> parser;
     /// Shared with the write in progress.
-    std::shared_ptr<bool> written;
+    std::shared_ptr<request_write> write;
     bool broken = false;
     /// The request in progress has no answer with a body.
     bool is_head = false;
--- a/unit_tests/relay/scripted_server.cpp
+++ b/unit_tests/relay/scripted_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <array>
 #include <utility>
 
 namespace fireflysail
@@ -27,6 +28,19 @@
     return bytes;
 }
 
+asio::awaitable<void> read_until_closed(tcp::socket& socket)
+{
+    io_error error;
+    ignore(socket.shutdown(tcp::socket::shutdown_send, error));
+    std::array<char, 8192> discarded{};
+    while (!error)
+    {
+        const auto [failed, count] =
+            co_await socket.async_read_some(asio::buffer(discarded), as_result);
+        error = failed;
+    }
+}
+
 } // namespace
 
 scripted_server::scripted_server(asio::io_context& io, script answers)
@@ -80,13 +94,14 @@
     beast::flat_buffer buffer;
     while (true)
     {
-        http_request request;
-        const auto [unread, read_bytes] =
-            co_await http::async_read(socket, buffer, request, as_result);
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
+        const auto unread = co_await this->read_request(socket, buffer, parser);
         if (unread)
         {
             break;
         }
+        const http_request request = parser.get();
         const auto number = this->received.size();
         this->received.push_back(request);
         const scripted_answer answer = this->answers(number, request);
@@ -100,6 +115,7 @@
             co_await asio::async_write(socket, asio::buffer(bytes), as_result);
         if (unwritten || answer.closes)
         {
+            co_await pause_for(poll, answer.pause);
             if (answer.resets)
             {
                 io_error ignored;
@@ -109,15 +125,45 @@
             }
             break;
         }
+        if (answer.half_closes)
+        {
+            co_await read_until_closed(socket);
+            break;
+        }
         const bool goes_on = co_await this->send_slowly(socket, answer);
         if (!goes_on)
         {
             break;
         }
+        if (!parser.is_done())
+        {
+            const auto [cut, rest] =
+                co_await http::async_read(socket, buffer, parser, as_result);
+            if (cut)
+            {
+                break;
+            }
+        }
     }
     std::erase(this->open, &socket);
 }
 
+asio::awaitable<io_error> scripted_server::read_request(
+    tcp::socket& socket,
+    beast::flat_buffer& buffer,
+    http::request_parser<http::string_body>& parser) const
+{
+    if (this->answers_early)
+    {
+        const auto [error, bytes] =
+            co_await http::async_read_header(socket, buffer, parser, as_result);
+        co_return error;
+    }
+    const auto [error, bytes] =
+        co_await http::async_read(socket, buffer, parser, as_result);
+    co_return error;
+}
+
 asio::awaitable<bool>
 scripted_server::send_slowly(tcp::socket& socket, const scripted_answer& answer)
 {
--- a/unit_tests/relay/scripted_server.hpp
+++ b/unit_tests/relay/scripted_server.hpp
@@ -26,7 +26,7 @@
     std::vector<std::string> pieces = {};
     /// Sent again and again after that, until the connection ends.
     std::string endless = {};
-    /// Pause before each piece, and before the crash.
+    /// Pause before each piece, the crash and the end of the connection.
     duration pause{};
     /// The server ends with all its connections after the bytes.
     bool crashes = false;
@@ -34,6 +34,9 @@
     bool resets = false;
     /// Nothing is sent before this holds.
     std::function<bool()> may_begin = {};
+    /// Shuts down its sending side after the bytes, and reads on until the
+    /// other side has closed.
+    bool half_closes = false;
 };
 
 /// A backend server on loopback that answers by a script, in the io_context of
@@ -54,6 +57,10 @@
 
     std::size_t open_connections() const;
 
+    /// Answers as soon as the header of a request was read. The body is read
+    /// after the answer, unless that ends the connection.
+    bool answers_early = false;
+
     std::vector<http_request> received;
 
     /// Connections accepted so far.
@@ -65,6 +72,10 @@
 private:
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(tcp::socket accepted);
+    asio::awaitable<io_error> read_request(
+        tcp::socket& socket,
+        beast::flat_buffer& buffer,
+        http::request_parser<http::string_body>& parser) const;
     /// False once the connection ended.
     asio::awaitable<bool>
     send_slowly(tcp::socket& socket, const scripted_answer& answer);
