Relay: an answer with a status below 100 is refused

What callers saw: a server answered with status 000. The relay took it for an interim answer and read on: bytes of its body that make an answer reached the caller as a stamped 200, and an answer without a body held the request until its time was up.

Cause: all statuses below 200 counted as interim, and the parser takes any three digits.

Change: a head that the parser takes but that makes no answer is refused in one place, is_answer_head (http/answer_head), which also holds the check for spliced heads. The read of a head fails, so that the connection is closed and the request fails as one whose outcome is not known; a safe request and a stream that may be resumed go to another server. Statuses from 600 to 999 stay what RFC 9110 says: passed on, as the failure of a server.

Evidence: malformed_head_test, four statuses on calls of safe and unsafe routes and on streams, sized, chunked, without a body and with an answer as the body, after interim answers, on connections that are kept and closed, and the next request after each.

--- a/source/relay/backend_connection.cpp
+++ b/source/relay/backend_connection.cpp
@@ -1,5 +1,6 @@
 #include "relay/backend_connection.hpp"
 
+#include "http/answer_head.hpp"
 #include "http/local_port.hpp"
 #include "http/silence_limit.hpp"
 
@@ -23,24 +24,6 @@
 /// Interim answers to one request that are read past.
 constexpr std::size_t most_interim_answers = 8;
 
-bool has_status_line(beast::string_view text)
-{
-    return text.find("HTTP/1.") != beast::string_view::npos;
-}
-
-/// Whether an answer that broke off in its head was followed by another one:
-/// the status line of that one ends up in the reason or in a field.
-bool is_spliced(const http::response_header<>& header)
-{
-    return has_status_line(header.reason()) ||
-           std::ranges::any_of(
-               header,
-               [](const auto& field)
-               {
-                   return has_status_line(field.value());
-               });
-}
-
 } // namespace
 
 backend_connection::backend_connection(
@@ -147,7 +130,7 @@
 {
     auto [error, bytes] = co_await http::async_read_header(
         *this->socket, this->buffer, *this->parser, as_result);
-    if (!error && is_spliced(this->header()))
+    if (!error && !is_answer_head(this->header()))
     {
         error = http::error::bad_value;
     }
