Relay: an answer with a folded line in its head is refused

What callers saw: in the head of an answer a field's name began with a blank. The parser joined that line to the field before it: the caller got it within the value of that field, and where it was the length, the caller got all bytes up to the end of the connection as the body.

Cause: the parser replaces folded lines by a blank (RFC 9112, 5.2) and tells nobody; nothing looked at the lines themselves.

Change: answer_buffer, through which heads are read, notes folded lines as the parser consumes them; such a head is refused like any other that makes no answer. The RFC lets a gateway discard these answers. Bodies are not looked at.

Evidence: malformed_head_test tries 21 lines with a blank or a control byte in the name at five places of the head, on calls of safe and unsafe routes and on streams, also after an interim answer.

--- a/source/http/answer_head.cpp
+++ b/source/http/answer_head.cpp
@@ -1,6 +1,7 @@
 #include "http/answer_head.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 namespace fireflysail
 {
@@ -35,4 +36,31 @@
     return head.result_int() >= first_status && !is_spliced(head);
 }
 
+void answer_buffer::begin_head()
+{
+    this->reads_head = true;
+    this->has_folded_line = false;
+}
+
+bool answer_buffer::end_head()
+{
+    this->reads_head = false;
+    return this->has_folded_line;
+}
+
+void answer_buffer::consume(std::size_t bytes)
+{
+    if (this->reads_head)
+    {
+        const auto data = this->cdata();
+        const std::string_view lines{
+            static_cast<const char*>(data.data()),
+            std::min(bytes, data.size())};
+        this->has_folded_line = this->has_folded_line ||
+                                lines.find("\n ") != std::string_view::npos ||
+                                lines.find("\n\t") != std::string_view::npos;
+    }
+    boost::beast::flat_buffer::consume(bytes);
+}
+
 } // namespace fireflysail
--- a/source/relay/backend_connection.cpp
+++ b/source/relay/backend_connection.cpp
@@ -1,6 +1,5 @@
 #include "relay/backend_connection.hpp"
 
-#include "http/answer_head.hpp"
 #include "http/local_port.hpp"
 #include "http/silence_limit.hpp"
 
@@ -128,9 +127,14 @@
 
 asio::awaitable<io_error> backend_connection::read_header()
 {
+    this->buffer.begin_head();
     auto [error, bytes] = co_await http::async_read_header(
         *this->socket, this->buffer, *this->parser, as_result);
-    if (!error && !is_answer_head(this->header()))
+    // The parser joins a line that begins with a blank to the field before,
+    // although it may be a field whose name begins with one. RFC 9112, 5.2 lets
+    // a gateway discard such an answer.
+    const bool is_folded = this->buffer.end_head();
+    if (!error && (is_folded || !is_answer_head(this->header())))
     {
         error = http::error::bad_value;
     }
--- a/source/relay/backend_connection.hpp
+++ b/source/relay/backend_connection.hpp
@@ -3,6 +3,7 @@
 #include "blackboard/fleet.hpp"
 #include "common/clock.hpp"
 #include "common/strong_types.hpp"
+#include "http/answer_head.hpp"
 #include "relay/io.hpp"
 
 #include <cstddef>
@@ -104,7 +105,7 @@
     const connection_number own_number;
     /// Kept by a write that goes on when this object is gone.
     std::shared_ptr<tcp::socket> socket;
-    beast::flat_buffer buffer;
+    answer_buffer buffer;
     std::optional<parser_type> parser;
     /// Shared with the write in progress.
     std::shared_ptr<request_write> write;
--- a/unit_tests/relay/malformed_head_test.cpp
+++ b/unit_tests/relay/malformed_head_test.cpp
@@ -152,3 +152,92 @@
     CHECK(answers[0].body == "body");
     CHECK(answers[0].header["X-Fireflysail-Server-Stamp"] == "stamp");
 }
+
+namespace
+{
+
+/// A head with `line` as its first line, in the middle or at its end.
+std::vector<std::string> heads_with(const std::string& line)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string& fields = stamped_fields;
+    return {
+        status + line + "\r\n" + fields + "Content-Length: 4\r\n\r\n",
+        status + fields + line + "\r\nContent-Length: 4\r\n\r\n",
+        status + fields + "Content-Length: 4\r\n" + line + "\r\n\r\n",
+        status + fields + "Transfer-Encoding: chunked\r\n" + line + "\r\n\r\n",
+        status + fields + line + "\r\n\r\n"};
+}
+
+} // namespace
+
+// A line that begins with a blank was joined to the field before it: passed on
+// with that field, or missing where it says how long the body is.
+TEST_CASE_METHOD(
+    malformed_head_fixture,
+    "an answer with a blank or a control byte in a field name is refused")
+{
+    using namespace std::string_literals;
+    const std::string path = GENERATE("/safe/", "/once/", "/stream/");
+    const std::string line = GENERATE(
+        " X-Odd: 1"s,
+        "\tX-Odd: 1"s,
+        "X-Odd : 1"s,
+        "X Odd: 1"s,
+        "X\tOdd: 1"s,
+        "X Odd:"s,
+        " X-Odd:"s,
+        "X\0Odd: 1"s,
+        "\1X-Odd: 1"s,
+        "X-Odd\x1f: 1"s,
+        "X\x7fOdd: 1"s,
+        "X\rOdd: 1"s,
+        "X\nOdd: 1"s,
+        "X-Odd\n: 1"s,
+        ": 1"s,
+        "X-Odd"s,
+        " Content-Length: 2"s,
+        "Content-Length : 2"s,
+        " Transfer-Encoding: chunked"s,
+        "Transfer Encoding: chunked"s,
+        " Content-Encoding: gzip"s);
+    const std::size_t place = GENERATE(as<std::size_t>{}, 0, 1, 2, 3, 4);
+    const std::string head = heads_with(line)[place];
+    const bool is_chunked = place == 3;
+    const std::string before = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n");
+    CAPTURE(path, head, before);
+    this->check_refused(
+        path,
+        before + head + (is_chunked ? "4\r\nbody\r\n0\r\n\r\n" : "body"),
+        true);
+}
+
+TEST_CASE_METHOD(
+    malformed_head_fixture, "an answer with unusual field names is delivered")
+{
+    const std::string path = GENERATE("/once/", "/stream/");
+    const std::string name = GENERATE(
+        "x", "!#$%&'*+-.^_`|~09", "Content-length-", "X_Odd", "1", "HTTP");
+    const std::string value =
+        GENERATE("", "a  b", "a\tb", "\xe4\xff", ": x", "\"a, b\"");
+    // A fold in a body is none.
+    const std::string body = "a\r\n b\r\n\tc: d\r\n\r\n";
+    const auto script = [&](numbered, const http_request& request)
+    {
+        scripted_answer answer;
+        answer.bytes = replace_id(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + name + ":" +
+                value + "\r\n" + stamped_fields + sized(body),
+            request);
+        return answer;
+    };
+    this->add(path, "home", script);
+    const auto answers = this->ask({get(path), get(path)});
+    REQUIRE(answers.size() == 2);
+    for (const auto& answer : answers)
+    {
+        CHECK(answer.status == 200);
+        CHECK(answer.body == body);
+        CHECK(answer.header[name] == value);
+    }
+}
