Store: malformed heads of answers to calls are refused

What the instance saw: a head with a status below 100 or with a folded line was taken for the answer of the store, or of an engine to an order, a report or a health check. An order answered with 000 counted as one that was not carried out, though it may have been; a folded length left the rest of the body to be read up to the end of the connection.

Cause: http_channel, which reads all of these, took whatever the parser takes.

Change: it reads the head through the same checks as the relay does (answer_buffer, is_answer_head). A malformed head fails the call with an unknown effect, and the connection is dropped. A call that reads fails as before.

Answers that are reset on the way were refused before, with and without a length.

--- a/source/store/http_channel.cpp
+++ b/source/store/http_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.hpp"
 #include "common/log.hpp"
+#include "http/answer_head.hpp"
 #include "http/local_port.hpp"
 #include "http/silence_limit.hpp"
 
@@ -38,6 +39,8 @@
 /// A call that may be given up looks so often whether it was.
 constexpr std::chrono::milliseconds look_interval{250};
 
+using parser_type = http::response_parser<http::string_body>;
+
 /// Bounds what of an answer is held before it is parsed.
 constexpr std::size_t most_buffered_bytes = std::size_t{128} * 1024;
 
@@ -47,7 +50,7 @@
 {
     asio::io_context context{1};
     beast::tcp_stream stream{context};
-    beast::flat_buffer buffer{most_buffered_bytes};
+    answer_buffer buffer{most_buffered_bytes};
 
     /// Runs what was started until its handler ran.
     void run(const std::function<bool()>& is_given_up)
@@ -81,6 +84,53 @@
         this->run(is_given_up);
         return outcome;
     }
+
+    /// Reads the head of an answer.
+    boost::system::error_code read_head(
+        parser_type& parser,
+        duration limit,
+        const std::function<bool()>& is_given_up)
+    {
+        this->buffer.begin_head();
+        const auto failed = this->wait(
+            limit,
+            [&](auto handler)
+            {
+                http::async_read_header(
+                    this->stream, this->buffer, parser, std::move(handler));
+            },
+            is_given_up);
+        const bool is_folded = this->buffer.end_head();
+        if (!failed && (is_folded || !is_answer_head(parser.get())))
+        {
+            return http::error::bad_value;
+        }
+        return failed;
+    }
+
+    /// Reads an answer.
+    boost::system::error_code read_answer(
+        std::optional<parser_type>& parser,
+        byte_count most_bytes,
+        const std::function<duration()>& left,
+        const std::function<bool()>& is_given_up)
+    {
+        parser.emplace();
+        parser->body_limit(most_bytes.value());
+        const auto failed = this->read_head(*parser, left(), is_given_up);
+        if (failed)
+        {
+            return failed;
+        }
+        return this->wait(
+            left(),
+            [&](auto handler)
+            {
+                http::async_read(
+                    this->stream, this->buffer, *parser, std::move(handler));
+            },
+            is_given_up);
+    }
 };
 
 http_channel::http_channel(endpoint address, byte_count most_answer_bytes)
@@ -158,7 +208,7 @@
     const std::function<bool()>& is_given_up)
 {
     const auto deadline = std::chrono::steady_clock::now() + limit;
-    const auto left = [deadline]
+    const auto left = [deadline]() -> duration
     {
         return deadline - std::chrono::steady_clock::now();
     };
@@ -200,21 +250,11 @@
         {
             http::async_write(used.stream, message, std::move(handler));
         });
-    std::optional<http::response_parser<http::string_body>> parser{
-        std::in_place};
-    parser->body_limit(this->most_answer_bytes.value());
-    const auto not_read = not_written ? not_written
-                                      : used.wait(
-                                            left(),
-                                            [&](auto handler)
-                                            {
-                                                http::async_read(
-                                                    used.stream,
-                                                    used.buffer,
-                                                    *parser,
-                                                    std::move(handler));
-                                            },
-                                            is_given_up);
+    std::optional<parser_type> parser;
+    const auto not_read =
+        not_written ? not_written
+                    : used.read_answer(
+                          parser, this->most_answer_bytes, left, is_given_up);
     if (not_read)
     {
         return errc::unknown_effect;
