Store: interim answers to calls are read past

What the instance saw: a call whose answer followed an interim one (100, 103) got the interim one as its answer: a read failed as malformed, an order counted as refused and a health check as failed.

Cause: http_channel read one answer, whatever its status.

--- a/source/store/http_channel.cpp
+++ b/source/store/http_channel.cpp
@@ -39,6 +39,12 @@
 /// A call that may be given up looks so often whether it was.
 constexpr std::chrono::milliseconds look_interval{250};
 
+/// Interim answers to one call that are read past.
+constexpr int most_interim_answers = 8;
+
+/// Answers below are interim ones.
+constexpr unsigned first_final_status = 200;
+
 using parser_type = http::response_parser<http::string_body>;
 
 /// Bounds what of an answer is held before it is parsed.
@@ -108,19 +114,25 @@
         return failed;
     }
 
-    /// Reads an answer.
+    /// Reads the final answer.
     boost::system::error_code read_answer(
         std::optional<parser_type>& parser,
         byte_count most_bytes,
         const std::function<duration()>& left,
         const std::function<bool()>& is_given_up)
     {
-        parser.emplace();
-        parser->body_limit(most_bytes.value());
-        const auto failed = this->read_head(*parser, left(), is_given_up);
-        if (failed)
+        boost::system::error_code failed;
+        int interim_answers = 0;
+        do
         {
-            return failed;
+            parser.emplace();
+            parser->body_limit(most_bytes.value());
+            failed = this->read_head(*parser, left(), is_given_up);
+        } while (!failed && parser->get().result_int() < first_final_status &&
+                 ++interim_answers <= most_interim_answers);
+        if (failed || interim_answers > most_interim_answers)
+        {
+            return failed ? failed : http::error::bad_status;
         }
         return this->wait(
             left(),
--- a/unit_tests/store/malformed_answer_test.cpp
+++ b/unit_tests/store/malformed_answer_test.cpp
@@ -113,7 +113,8 @@
         "Content-Length: 2\r\n\r\n{}",
         "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
         "\r\n{}");
-    check_refused("HTTP/1.1 " + status + " X\r\n" + rest, false);
+    const std::string before = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n");
+    check_refused(before + "HTTP/1.1 " + status + " X\r\n" + rest, false);
 }
 
 TEST_CASE("an answer to a call with a malformed field name is refused")
@@ -146,3 +147,21 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n");
     check_refused(bytes, true);
 }
+
+TEST_CASE("an answer to a call follows interim ones")
+{
+    const std::string interim = GENERATE(
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
+    const std::string rest = GENERATE(
+        "Content-Length: 2\r\n\r\n{}",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+        "\r\n{}");
+    const two_answer_server server{
+        interim + "HTTP/1.1 201 OK\r\n" + rest, false};
+    http_channel channel{server.address()};
+    const auto answer = channel.call({"POST", "/orders", "{}"}, 10s);
+    REQUIRE(answer);
+    CHECK(answer.value().status == 201);
+    CHECK(answer.value().body == "{}");
+}
