--- a/unit_tests/store/http_channel_test.cpp
+++ b/unit_tests/http/http_channel_test.cpp
@@ -1,4 +1,4 @@
-#include "store/http_channel.hpp"
+#include "http/http_channel.hpp"
 
 #include "common/error.hpp"
 
--- a/unit_tests/store/malformed_answer_test.cpp
+++ b/unit_tests/http/malformed_answer_test.cpp
@@ -1,5 +1,5 @@
 #include "common/error.hpp"
-#include "store/http_channel.hpp"
+#include "http/http_channel.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
