Backend: calls to services refuse malformed heads

What callers of `fireflysail serve` saw: an answer of a service with status 000, or with a blank or a control byte in a field's name, was passed on as its answer; where that field said how long the body is, the body was all that came before the end of the connection. An interim answer 103 was passed on as the final one.

Cause: these calls used an HTTP library that takes any status and any name, and leaves out lines that it cannot read.

Change: they go through http_channel, which reads the heads of all answers to calls strictly and reads past interim ones. It takes the time for a connection, answers to HEAD and content types other than JSON now. Such a call has no answer, as its outcome is not known; the time limit bounds the whole call.

--- a/source/backend/http_service.cpp
+++ b/source/backend/http_service.cpp
@@ -1,10 +1,11 @@
 #include "backend/http_service.hpp"
 
+#include "common/error.hpp"
+#include "http/http_channel.hpp"
 #include "http/percent_encoding.hpp"
 
-#include <httplib.h>
-
 #include <algorithm>
+#include <utility>
 
 namespace fireflysail
 {
@@ -14,29 +15,24 @@
 
 constexpr std::chrono::milliseconds shortest_timeout{1};
 
+/// Bounds an answer, which is kept until it is whole.
+constexpr byte_count longest_answer{64ULL * 1024 * 1024};
+
 service_result
-send(httplib::Client& client, httplib::Request& message, duration timeout)
+send(http_channel& channel, const channel_request& request, duration timeout)
 {
-    const auto bound = std::max(
-        shortest_timeout,
-        std::chrono::duration_cast<std::chrono::milliseconds>(timeout));
-    client.set_read_timeout(bound);
-    client.set_write_timeout(bound);
-    client.set_tcp_nodelay(true);
-    httplib::Response response;
-    auto error = httplib::Error::Success;
-    if (client.send(message, response, error))
+    auto answer =
+        channel.call(request, std::max<duration>(shortest_timeout, timeout));
+    if (!answer)
     {
-        return service_response{
-            response.status,
-            response.get_header_value("Content-Type"),
-            std::move(response.body)};
+        // Only a connection that was never made proves that nothing was sent.
+        return answer.error() == errc::unavailable ? service_failure::not_sent
+                                                   : service_failure::no_answer;
     }
-    // Only a connection that was never made proves that nothing was sent.
-    const bool never_connected = error == httplib::Error::Connection ||
-                                 error == httplib::Error::ConnectionTimeout;
-    return never_connected ? service_failure::not_sent
-                           : service_failure::no_answer;
+    return service_response{
+        static_cast<int>(answer.value().status),
+        find_field(answer.value(), "Content-Type"),
+        std::move(answer.value().body)};
 }
 
 } // namespace
@@ -49,39 +45,32 @@
 service_result http_service::call(
     const endpoint& address, const service_request& request, duration timeout)
 {
-    httplib::Client client{address.host, address.port};
-    client.set_connection_timeout(this->connect_timeout);
-    client.set_url_encode(false);
-    httplib::Request message;
-    message.method = request.method;
-    message.path = request.target;
-    message.body = request.body;
-    message.set_header("X-Request-Id", request.request.str());
+    http_channel channel{address, longest_answer, this->connect_timeout};
+    channel_request message{request.method, request.target, request.body};
+    message.fields.emplace_back("X-Request-Id", request.request.str());
     if (!request.content_type.empty())
     {
-        message.set_header("Content-Type", request.content_type);
+        message.fields.emplace_back("Content-Type", request.content_type);
     }
     if (request.key)
     {
-        message.set_header("Idempotency-Key", request.key->str());
+        message.fields.emplace_back("Idempotency-Key", request.key->str());
     }
     for (const auto& field : request.headers)
     {
-        message.set_header(field.name, field.value);
+        message.fields.emplace_back(field.name, field.value);
     }
-    return send(client, message, timeout);
+    return send(channel, message, timeout);
 }
 
 service_result http_service::look_up(
     const endpoint& address, const idempotency_key& key, duration timeout)
 {
-    httplib::Client client{address.host, address.port};
-    client.set_connection_timeout(this->connect_timeout);
-    client.set_url_encode(false);
-    httplib::Request message;
-    message.method = "GET";
-    message.path = "/v1/outcomes?key=" + percent_encode(key.str());
-    return send(client, message, timeout);
+    http_channel channel{address, longest_answer, this->connect_timeout};
+    return send(
+        channel,
+        {"GET", "/v1/outcomes?key=" + percent_encode(key.str()), {}},
+        timeout);
 }
 
 } // namespace fireflysail
--- a/source/http/http_channel.cpp
+++ b/source/http/http_channel.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -28,9 +29,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-/// Time within which the platform accepts a connection if it is there at all.
-constexpr std::chrono::milliseconds connect_time{1000};
-
 /// Time for one attempt to connect. A listener whose queue is full drops the
 /// opening packet, and the system sends it again only after a second: too late
 /// where hundreds of instances start together.
@@ -45,6 +43,14 @@
 /// Answers below are interim ones.
 constexpr unsigned first_final_status = 200;
 
+/// What the request says of its answer.
+struct answer_form
+{
+    byte_count most_bytes;
+    /// Its method has answers without a body, whatever their head says.
+    bool is_bodiless = false;
+};
+
 using parser_type = http::response_parser<http::string_body>;
 
 /// Bounds what of an answer is held before it is parsed.
@@ -117,7 +123,7 @@
     /// Reads the final answer.
     boost::system::error_code read_answer(
         std::optional<parser_type>& parser,
-        byte_count most_bytes,
+        const answer_form& expected,
         const std::function<duration()>& left,
         const std::function<bool()>& is_given_up)
     {
@@ -126,7 +132,8 @@
         do
         {
             parser.emplace();
-            parser->body_limit(most_bytes.value());
+            parser->body_limit(expected.most_bytes.value());
+            parser->skip(expected.is_bodiless);
             failed = this->read_head(*parser, left(), is_given_up);
         } while (!failed && parser->get().result_int() < first_final_status &&
                  ++interim_answers <= most_interim_answers);
@@ -145,9 +152,22 @@
     }
 };
 
-http_channel::http_channel(endpoint address, byte_count most_answer_bytes)
+std::string find_field(const channel_answer& answer, std::string_view name)
+{
+    const auto found = std::ranges::find_if(
+        answer.fields,
+        [name](const auto& field)
+        {
+            return beast::iequals(field.first, {name.data(), name.size()});
+        });
+    return found == answer.fields.end() ? std::string{} : found->second;
+}
+
+http_channel::http_channel(
+    endpoint address, byte_count most_answer_bytes, duration connect_time)
     : address{std::move(address)}
     , most_answer_bytes{most_answer_bytes}
+    , connect_time{connect_time}
 {
 }
 
@@ -226,8 +246,7 @@
     };
     if (!this->current)
     {
-        const auto failed =
-            this->connect(std::min<duration>(connect_time, left()));
+        const auto failed = this->connect(std::min(this->connect_time, left()));
         if (failed)
         {
             return failed;
@@ -240,15 +259,15 @@
     message.set(
         http::field::host,
         fmt::format("{}:{}", this->address.host, this->address.port));
-    for (const auto& [name, value] : request.fields)
-    {
-        message.set(name, value);
-    }
     if (!request.body.empty())
     {
         message.set(http::field::content_type, "application/json");
         message.body() = request.body;
     }
+    for (const auto& [name, value] : request.fields)
+    {
+        message.set(name, value);
+    }
     message.prepare_payload();
     connection& used = *this->current;
     // What is left of a call must not run in the next one.
@@ -263,10 +282,11 @@
             http::async_write(used.stream, message, std::move(handler));
         });
     std::optional<parser_type> parser;
+    const answer_form expected{
+        this->most_answer_bytes, message.method() == http::verb::head};
     const auto not_read =
         not_written ? not_written
-                    : used.read_answer(
-                          parser, this->most_answer_bytes, left, is_given_up);
+                    : used.read_answer(parser, expected, left, is_given_up);
     if (not_read)
     {
         return errc::unknown_effect;
--- a/source/http/http_channel.hpp
+++ b/source/http/http_channel.hpp
@@ -5,9 +5,11 @@
 #include "common/result.hpp"
 #include "common/units.hpp"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -20,7 +22,7 @@
     std::string method;
     std::string target;
     std::string body;
-    /// Further fields of the header.
+    /// Further fields of the header. A body is JSON unless they say otherwise.
     std::vector<std::pair<std::string, std::string>> fields = {};
 };
 
@@ -32,6 +34,10 @@
     std::vector<std::pair<std::string, std::string>> fields = {};
 };
 
+/// The value of the first field with the name, whatever its case; empty if
+/// there is none.
+std::string find_field(const channel_answer& answer, std::string_view name);
+
 /// Bounds an answer of the store, whose pages are about a megabyte.
 inline constexpr byte_count longest_page{16ULL * 1024 * 1024};
 
@@ -41,9 +47,12 @@
 class http_channel
 {
 public:
-    /// An answer with a longer body fails.
+    /// An answer with a longer body fails. `connect_time` bounds the time in
+    /// which the server has to accept a connection.
     explicit http_channel(
-        endpoint address, byte_count most_answer_bytes = longest_page);
+        endpoint address,
+        byte_count most_answer_bytes = longest_page,
+        duration connect_time = std::chrono::seconds{1});
     ~http_channel();
 
     http_channel(const http_channel&) = delete;
@@ -69,6 +78,7 @@
 
     const endpoint address;
     const byte_count most_answer_bytes;
+    const duration connect_time;
     std::unique_ptr<connection> current;
 };
 
--- a/unit_tests/http/malformed_answer_test.cpp
+++ b/unit_tests/http/malformed_answer_test.cpp
@@ -1,15 +1,10 @@
 #include "common/error.hpp"
 #include "http/http_channel.hpp"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
+#include "http/two_answer_server.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <string>
-#include <thread>
 
 using namespace fireflysail;
 using namespace std::chrono_literals;
@@ -17,78 +12,6 @@
 namespace
 {
 
-using boost::asio::ip::tcp;
-
-/// A server that answers the first request with some bytes, resets the
-/// connection if it is to, and answers the next one soundly.
-class two_answer_server
-{
-public:
-    two_answer_server(std::string first, bool resets)
-        : first{std::move(first)}
-        , resets{resets}
-        , thread{[this]
-                 {
-                     this->run();
-                 }}
-    {
-    }
-
-    ~two_answer_server()
-    {
-        // Ends the wait for a request that was not sent.
-        boost::asio::io_context context{1};
-        tcp::socket last{context};
-        boost::system::error_code ignored;
-        last.connect(this->listener.local_endpoint(), ignored);
-        last.close(ignored);
-        this->thread.join();
-    }
-
-    two_answer_server(const two_answer_server&) = delete;
-    two_answer_server& operator=(const two_answer_server&) = delete;
-
-    endpoint address() const
-    {
-        return {"127.0.0.1", this->listener.local_endpoint().port()};
-    }
-
-private:
-    void run()
-    {
-        tcp::socket faulty = this->listener.accept();
-        this->answer(faulty, this->first);
-        if (this->resets)
-        {
-            faulty.set_option(boost::asio::socket_base::linger{true, 0});
-            faulty.close();
-        }
-        else
-        {
-            boost::system::error_code ended;
-            faulty.shutdown(tcp::socket::shutdown_send, ended);
-        }
-        tcp::socket sound = this->listener.accept();
-        this->answer(
-            sound, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound");
-    }
-
-    static void answer(tcp::socket& socket, const std::string& bytes)
-    {
-        std::string request;
-        boost::system::error_code ended;
-        boost::asio::read_until(
-            socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ended);
-        boost::asio::write(socket, boost::asio::buffer(bytes), ended);
-    }
-
-    boost::asio::io_context io{1};
-    tcp::acceptor listener{io, {boost::asio::ip::make_address("127.0.0.1"), 0}};
-    const std::string first;
-    const bool resets;
-    std::thread thread;
-};
-
 void check_refused(const std::string& bytes, bool resets)
 {
     CAPTURE(bytes, resets);
