Backend: answers of engines with malformed heads are refused

What `fireflysail serve` took: a stream of events, a report of load and holdings (its health check) or the answer to an order, from an answer with status 000 or with a blank or a control byte in a field's name. An order answered so counted as malformed or as refused, though it may have taken effect.

Cause: the HTTP library takes any status and any name.

Change: reports and orders go through http_channel, which reads heads strictly. Streams still use the library, whose cut by another thread they need; has_sound_head (http/client_answer) refuses their heads before the first event is taken. Such a stream is broken, and is resumed like any other.

--- a/source/backend/http_engine.cpp
+++ b/source/backend/http_engine.cpp
@@ -3,6 +3,8 @@
 #include "backend/engine_codec.hpp"
 #include "backend/event_stream.hpp"
 #include "common/error.hpp"
+#include "http/client_answer.hpp"
+#include "http/http_channel.hpp"
 
 #include <httplib.h>
 
@@ -28,10 +30,13 @@
 // later ones; this bound only backs it up.
 constexpr milliseconds longest_read{3'600'000};
 
-constexpr int status_ok = 200;
-constexpr int status_no_content = 204;
-constexpr int status_conflict = 409;
-constexpr int status_client_error = 400;
+/// Bounds an answer to a question or an order.
+constexpr byte_count most_answer_bytes{1024ULL * 1024};
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_client_error = 400;
 
 bool is_connection_error(httplib::Error error)
 {
@@ -110,7 +115,7 @@
     stream_end end = stream_end::closed;
 };
 
-stream_end refusal(int status)
+stream_end refusal(unsigned status)
 {
     return status >= status_client_error ? stream_end::refused
                                          : stream_end::malformed;
@@ -151,11 +156,11 @@
     message.path = "/v1/pipeline/generate";
     message.set_header("Content-Type", "application/json");
     message.body = encode_generate_request(request);
-    int status = 0;
+    unsigned status = 0;
     message.response_handler = [&status](const httplib::Response& response)
     {
-        status = response.status;
-        return true;
+        status = static_cast<unsigned>(response.status);
+        return has_sound_head(response);
     };
     message.content_receiver =
         [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t)
@@ -184,15 +189,14 @@
 
 result<engine_status> http_engine::status(const endpoint& address)
 {
-    httplib::Client client{address.host, address.port};
-    client.set_connection_timeout(this->connect_timeout);
-    client.set_read_timeout(status_timeout);
-    const auto answer = client.Get("/v1/load");
-    if (!answer || answer->status != status_ok)
+    http_channel channel{address, most_answer_bytes, this->connect_timeout};
+    const auto answer = channel.call(
+        {"GET", "/v1/load", {}}, this->connect_timeout + status_timeout);
+    if (!answer || answer.value().status != status_ok)
     {
         return make_error_code(errc::unavailable);
     }
-    auto status = decode_engine_status(answer->body);
+    auto status = decode_engine_status(answer.value().body);
     if (status)
     {
         status.value().load.received_at = this->time.now();
@@ -203,21 +207,18 @@
 result<void>
 http_engine::order(const endpoint& address, const std::string& body)
 {
-    httplib::Client client{address.host, address.port};
-    client.set_connection_timeout(this->connect_timeout);
-    client.set_read_timeout(order_timeout);
-    const auto answer = client.Post("/v1/orders", body, "application/json");
+    http_channel channel{address, most_answer_bytes, this->connect_timeout};
+    const auto answer = channel.call(
+        {"POST", "/v1/orders", body}, this->connect_timeout + order_timeout);
     if (!answer)
     {
-        return make_error_code(
-            is_connection_error(answer.error()) ? errc::unavailable
-                                                : errc::unknown_effect);
+        return answer.error();
     }
-    if (answer->status == status_conflict)
+    if (answer.value().status == status_conflict)
     {
         return make_error_code(errc::conflict);
     }
-    if (answer->status != status_no_content)
+    if (answer.value().status != status_no_content)
     {
         return make_error_code(errc::malformed);
     }
--- a/unit_tests/backend/http_engine_test.cpp
+++ b/unit_tests/backend/http_engine_test.cpp
@@ -1,8 +1,10 @@
 #include "backend/http_engine.hpp"
 
 #include "backend/answer_checker.hpp"
+#include "common/error.hpp"
 #include "engine_model.hpp"
 #include "engine_server.hpp"
+#include "http/two_answer_server.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -201,3 +203,74 @@
     CHECK(status.value().holdings[0].layers.first == layer_index{8});
     CHECK(status.value().load.slots == 64);
 }
+
+namespace
+{
+
+/// The head of an answer that an engine in trouble gives.
+std::string malformed_head()
+{
+    using namespace std::string_literals;
+    return GENERATE(
+        "HTTP/1.1 000 X\r\n"s,
+        "HTTP/1.1 099 X\r\n"s,
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\n"s,
+        "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n"s,
+        "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n"s,
+        "HTTP/1.1 200 OK\r\nX-Other: 1\r\n X-Odd: 1\r\n"s,
+        "HTTP/1.1 200 OK\r\nX\0Odd: 1\r\n"s,
+        "HTTP/1.1 200 OK\r\nX\x7f: 1\r\n"s);
+}
+
+std::string sized(const std::string& body)
+{
+    return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("events of an answer with a malformed head are not taken")
+{
+    const std::string head = malformed_head();
+    CAPTURE(head);
+    const two_answer_server server{
+        head + sized("data: {\"type\":\"end\",\"request_id\":\"r\","
+                     "\"attempt_id\":\"a\"}\n\n"),
+        false};
+    pipeline_of_three pipeline;
+    pipeline.request.stages.front().address = server.address();
+    answer received{pipeline.request};
+    CHECK(run(pipeline, received) == stream_end::broken);
+    CHECK_FALSE(received.ended);
+}
+
+TEST_CASE("a status with a malformed head is none")
+{
+    const std::string head = malformed_head();
+    CAPTURE(head);
+    const two_answer_server server{
+        head + sized(R"({"running":0,"waiting":0,"slots":1,"free_kv":1,)"
+                     R"("step_us":1,"prefill_us":1,"holdings":[]})"),
+        false};
+    system_clock time;
+    http_engine client{time, 1s};
+    CHECK(client.status(server.address()).error() == errc::unavailable);
+}
+
+TEST_CASE("an order whose answer has a malformed head may have taken effect")
+{
+    const std::string head = malformed_head();
+    const bool is_conflict = GENERATE(true, false);
+    CAPTURE(head, is_conflict);
+    std::string bytes = head + sized("");
+    const auto at = bytes.find("200");
+    if (at != std::string::npos)
+    {
+        bytes.replace(at, 3, is_conflict ? "409" : "204");
+    }
+    const two_answer_server server{bytes, false};
+    system_clock time;
+    http_engine client{time, 1s};
+    const auto outcome = client.order(server.address(), "{}");
+    CHECK((!outcome && outcome.error() == errc::unknown_effect));
+}
