Store: answers of the HTTP store with malformed heads are refused

What `fireflysail serve` took: an object or the confirmation of a write from an answer of its store with a blank or a control byte in a field's name; status 000 counted as malformed instead of as no answer.

Cause: the HTTP library takes any status and any name.

Change: http_store checks each answer with has_sound_head.

--- a/source/store/http_store.cpp
+++ b/source/store/http_store.cpp
@@ -1,5 +1,6 @@
 #include "store/http_store.hpp"
 
+#include "http/client_answer.hpp"
 #include "http/local_port.hpp"
 #include "http/silence_limit.hpp"
 #include "store/call_watchdog.hpp"
@@ -150,9 +151,9 @@
                 }};
             return send(*client);
         }();
-        if (!got)
+        if (!got || !has_sound_head(*got))
         {
-            const bool unsent = never_sent(got.error());
+            const bool unsent = !got && never_sent(got.error());
             return does == effect::reads || unsent ? errc::unavailable
                                                    : errc::unknown_effect;
         }
--- a/unit_tests/store/http_store_test.cpp
+++ b/unit_tests/store/http_store_test.cpp
@@ -1,5 +1,6 @@
 #include "store/http_store.hpp"
 
+#include "http/two_answer_server.hpp"
 #include "one_answer_server.hpp"
 #include "store_server.hpp"
 
@@ -171,3 +172,30 @@
     server.stop();
     CHECK(server.cut_off());
 }
+
+TEST_CASE("an answer of the store with a malformed head is not taken")
+{
+    using namespace std::string_literals;
+    const std::string head = GENERATE(
+        "HTTP/1.1 000 X\r\n"s,
+        "HTTP/1.1 201 X\r\nX Odd: 1\r\n"s,
+        "HTTP/1.1 201 X\r\nX-Odd : 1\r\n"s,
+        "HTTP/1.1 201 X\r\nX-Other: 1\r\n X-Odd: 1\r\n"s,
+        "HTTP/1.1 201 X\r\nX\0Odd: 1\r\n"s,
+        "HTTP/1.1 404 X\r\nX\x7f: 1\r\n"s);
+    const bool is_write = GENERATE(true, false);
+    CAPTURE(head, is_write);
+    const two_answer_server server{
+        head + "Content-Length: 14\r\n\r\n{\"revision\":1}", false};
+    const system_clock time;
+    http_store client{local(server.address().port), time};
+    const time_point deadline = time.now() + 5s;
+    if (is_write)
+    {
+        const auto written = client.create({"k", "n"}, "1", deadline);
+        CHECK((!written && written.error() == errc::unknown_effect));
+        return;
+    }
+    const auto read = client.get({"k", "n"}, deadline);
+    CHECK((!read && read.error() == errc::unavailable));
+}
