--- a/unit_tests/peer/rpc_test.cpp
+++ b/unit_tests/peer/rpc_test.cpp
@@ -1,4 +1,5 @@
 #include "common/error.hpp"
+#include "http/two_answer_server.hpp"
 #include "peer/json_rpc/json_rpc_connection.hpp"
 #include "peer/peer_dispatcher.hpp"
 #include "peer/rpc_client.hpp"
@@ -240,3 +241,29 @@
     }
     CHECK(answered == 400);
 }
+
+// The HTTP library takes such heads; the signature of the body is what counts.
+TEST_CASE("an answer of a peer that is malformed or reset is none")
+{
+    using namespace std::string_literals;
+    const std::string head = GENERATE(
+        "HTTP/1.1 200 OK\r\n"s,
+        "HTTP/1.1 000 X\r\n"s,
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\n"s,
+        "HTTP/1.1 200 OK\r\nX-Peer-Auth : 1\r\n"s,
+        "HTTP/1.1 200 OK\r\nX\x7f: 1\r\n"s);
+    const std::string length =
+        GENERATE("", "Content-Length: 36\r\n", "Content-Length: 40\r\n");
+    const bool resets = GENERATE(true, false);
+    CAPTURE(head, length, resets);
+    const two_answer_server server{
+        head + "X-Peer-Auth: 1\r\n" + length +
+            "\r\n{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{}}",
+        resets};
+    rpc_client client{instance_id{"one"}, test_keys};
+    const auto outcome =
+        client.call(server.address(), "gossip", "{}", generous);
+    CHECK(
+        (!outcome && (outcome.error() == errc::malformed ||
+                      outcome.error() == errc::unknown_effect)));
+}
