--- a/unit_tests/relay/hedged_attempt_test.cpp
+++ b/unit_tests/relay/hedged_attempt_test.cpp
@@ -315,6 +315,45 @@
     CHECK(value_of(this->metrics, "hedges_ended_total{end=\"lost\"}") == 1);
 }
 
+// Both copies of a long upload are written while the second one is answered.
+TEST_CASE_METHOD(
+    hedging_fixture, "a broken answer to the second copy is not delivered")
+{
+    constexpr std::size_t upload_bytes = std::size_t{6} * 1024 * 1024;
+    this->config->limits.body = byte_count{2 * upload_bytes};
+    const std::string fields = "X-Fireflysail-Attempt-Id: ID\r\n"
+                               "X-Fireflysail-Server-Stamp: stamp\r\n";
+    scripted_answer broken;
+    broken.bytes = GENERATE_COPY(
+        "HTTP/1.1 200 OK\r\n" + fields + "\r\npart",
+        "HTTP/1.1 000 X\r\n" + fields + "\r\nwhole",
+        "HTTP/1.1 200 OK\r\n" + fields + " Content-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\n" + fields + "\r\nwhole");
+    broken.closes = true;
+    broken.resets = true;
+    broken.pause = 10ms;
+    std::size_t polls = 0;
+    this->add_desk(
+        "home",
+        always(once(
+            [&polls]
+            {
+                return ++polls > 50;
+            },
+            whole_answer(200, "slow"))));
+    auto& second = this->add_desk("other", always(broken));
+    second.answers_early = true;
+    std::string request = get(
+        "/safe/", "Content-Length: " + std::to_string(upload_bytes) + "\r\n");
+    request.replace(0, 3, "POST");
+    const auto answers = this->ask({request + std::string(upload_bytes, 'u')});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].status == 200);
+    CHECK(answers[0].body == "slow");
+    CHECK(second.received.size() == 1);
+    CHECK(value_of(this->metrics, "hedges_ended_total{end=\"lost\"}") == 1);
+}
+
 // Guards against "nothing ran" for a request that one server may have run.
 TEST_CASE_METHOD(hedging_fixture, "two copies that fail say what is known")
 {
