--- a/unit_tests/http/two_answer_server.cpp
+++ b/unit_tests/http/two_answer_server.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <tuple>
 #include <utility>
 
 namespace fireflysail
@@ -40,8 +41,8 @@
     boost::asio::io_context context{1};
     tcp::socket last{context};
     boost::system::error_code ignored;
-    last.connect(this->listener.local_endpoint(), ignored);
-    last.close(ignored);
+    std::ignore = last.connect(this->listener.local_endpoint(), ignored);
+    std::ignore = last.close(ignored);
     this->thread.join();
 }
 
@@ -57,12 +58,13 @@
     boost::system::error_code ended;
     if (this->resets)
     {
-        faulty.set_option(boost::asio::socket_base::linger{true, 0}, ended);
-        faulty.close(ended);
+        std::ignore =
+            faulty.set_option(boost::asio::socket_base::linger{true, 0}, ended);
+        std::ignore = faulty.close(ended);
     }
     else
     {
-        faulty.shutdown(tcp::socket::shutdown_send, ended);
+        std::ignore = faulty.shutdown(tcp::socket::shutdown_send, ended);
     }
     tcp::socket sound = this->listener.accept();
     answer(sound, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound");
--- a/unit_tests/relay/malformed_head_test.cpp
+++ b/unit_tests/relay/malformed_head_test.cpp
@@ -50,8 +50,8 @@
     return text;
 }
 
-scripted_server::script
-answer_first_with(std::string first, std::string body, bool closes = false)
+scripted_server::script answer_first_with(
+    const std::string& first, const std::string& body, bool closes)
 {
     return [=](numbered number, const http_request& request)
     {
