--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
-# Builds what the scripts of cases 11 to 15 start, beside the program of the
-# deploy file. The stand-ins are Python and need no build: they are compiled
-# here to see that they can run.
+# Builds what the scripts of cases 11 to 15 start, from a fresh clone: the program
+# by the build line of deploy/system.toml. The stand-ins are Python and need no
+# build; they are compiled here to see that they can run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+line=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
+bash -c "$line"
 test -x target/bin/fireflysail
 python3 - <<'CHECK'
 import pathlib
