--- a/review/support-3/world.py
+++ b/review/support-3/world.py
@@ -770,6 +770,10 @@
     record = Record(folder)
 
     async def whole():
+        # An end by a signal ends the instances as well.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         world = World(record)
         await world.store.listen()
         relays = []
@@ -786,7 +790,8 @@
 
     try:
         broken = asyncio.run(whole())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # A fault of the script is no broken rule.
         record.note("cannot_run", error=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(2)
