Observability: lists of the store that are older than the view

A list that is dropped as stale left no line, and no metric showed how far a view is. list_older_than_view names both positions with their eras, and the metrics view_era, view_revision and lists_older_than_view_total show them for each view. This tells a store that came back older from one that does not answer.

--- a/source/main/relay_status.cpp
+++ b/source/main/relay_status.cpp
@@ -4,6 +4,7 @@
 
 #include "common/guarded.hpp"
 #include "common/log.hpp"
+#include "common/store_era.hpp"
 
 #include <fmt/format.h>
 
@@ -72,7 +73,7 @@
     add("config_version", config ? config->version : 0);
     add("config_age_seconds",
         age_of(config ? std::optional{config->read_at} : std::nullopt));
-    add("fleet_revision", this->board.fleet.load()->version.value());
+    add("fleet_revision", change_number_of(this->board.fleet.load()->version));
     add("pipelines", this->pipelines.first_stages().size());
     add("engines_avoided", this->inquiry.avoided().size());
     add("engines_lost", this->inquiry.lost().size());
@@ -104,6 +105,21 @@
     add("prompt_quarantines_total", crashes.quarantines);
     add("prompt_trials_total", crashes.trials);
     const auto store = this->store_status();
+    const auto add_view = [&text](std::string_view kind, const store_view& view)
+    {
+        const watch_hub_status status = view.status();
+        fmt::format_to(
+            std::back_inserter(text),
+            "fireflysail_view_era{{kind=\"{0}\"}} {1}\n"
+            "fireflysail_view_revision{{kind=\"{0}\"}} {2}\n"
+            "fireflysail_lists_older_than_view_total{{kind=\"{0}\"}} {3}\n",
+            kind,
+            era_of(status.position).value(),
+            change_number_of(status.position),
+            status.counts.stale_lists);
+    };
+    add_view("config", this->config_view);
+    add_view("servers", this->servers_view);
     add("confirms_views", this->config_view.freshness.confirms() ? 1 : 0);
     add("config_view_age_seconds",
         age_of(this->config_view.freshness.confirmed_at()));
--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.hpp"
 #include "common/log.hpp"
+#include "common/store_era.hpp"
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/strings/ascii.h>
@@ -425,7 +426,8 @@
          {"config_version", served.config ? served.config->version : 0},
          {"config_age_ms",
           served.config ? milliseconds(now - served.config->read_at) : -1.0},
-         {"fleet_revision", this->relay.board.fleet.load()->version.value()}});
+         {"fleet_revision",
+          change_number_of(this->relay.board.fleet.load()->version)}});
     if (served.first_event_after)
     {
         this->relay.metrics.observe(
--- a/source/serving/pipeline_router.cpp
+++ b/source/serving/pipeline_router.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.hpp"
 #include "common/log.hpp"
+#include "common/store_era.hpp"
 #include "routing/progress_monitor.hpp"
 
 #include <algorithm>
@@ -97,7 +98,7 @@
                   std::chrono::duration<double, std::milli>{planned.step_time}
                       .count()},
                  {"stages", stages},
-                 {"fleet_revision", fleet.version.value()}});
+                 {"fleet_revision", change_number_of(fleet.version)}});
         }
     }
 }
--- a/source/store/watch_hub.cpp
+++ b/source/store/watch_hub.cpp
@@ -1,6 +1,10 @@
 #include "store/watch_hub.hpp"
 
 #include "common/guarded.hpp"
+#include "common/log.hpp"
+#include "common/store_era.hpp"
+
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <iterator>
@@ -147,8 +151,15 @@
 
 void watch_hub::carry_out(const store_watcher::list_now& what)
 {
-    const auto snapshot = this->watcher.on_listed(
-        this->source.list(this->kinds, what.deadline), this->time.now());
+    auto listed = this->source.list(this->kinds, what.deadline);
+    const revision version = listed ? listed.value().version : revision{};
+    const auto stale_before = this->watcher.counts().stale_lists;
+    const auto snapshot =
+        this->watcher.on_listed(std::move(listed), this->time.now());
+    if (this->watcher.counts().stale_lists != stale_before)
+    {
+        this->log_stale_list(version);
+    }
     if (!snapshot)
     {
         return;
@@ -178,6 +189,20 @@
     }
 }
 
+void watch_hub::log_stale_list(revision version) const
+{
+    const revision view = this->watcher.position();
+    log::event(
+        log::level::warning,
+        log::channel::store,
+        "list_older_than_view",
+        {{"kinds", absl::StrJoin(this->kinds, ",")},
+         {"revision", change_number_of(version)},
+         {"era", era_of(version).value()},
+         {"view_revision", change_number_of(view)},
+         {"view_era", era_of(view).value()}});
+}
+
 void watch_hub::publish_status()
 {
     const absl::MutexLock lock{&this->mutex};
--- a/source/store/watch_hub.hpp
+++ b/source/store/watch_hub.hpp
@@ -76,6 +76,7 @@
     void carry_out(const store_watcher::watch_now& what);
     /// Carries out what is due and says when the next step is.
     time_point carry_out_next();
+    void log_stale_list(revision version) const;
     void publish_status();
     void run();
 
