--- a/scripts/platform_world.py
+++ b/scripts/platform_world.py
@@ -6,6 +6,7 @@
 import asyncio
 import bisect
 import contextlib
+import copy
 import json
 import os
 import random
@@ -37,9 +38,11 @@
 
 class Store:
     """Linearizable, but for calls with Serializable, which are answered from a
-    copy that is `copy_lag_s` old."""
+    copy that is `copy_lag_s` old. It may lose what it acknowledged: see
+    `restore`."""
 
     def __init__(self):
+        self.era = 1
         self.revision = 10
         self.objects = {}
         # (time, revision, kind, event)
@@ -53,6 +56,21 @@
         self.lists = {}
         self.silent = False
 
+    def take_copy(self):
+        return copy.deepcopy((self.revision, self.objects, self.events))
+
+    def restore(self, taken):
+        """Comes back from the copy: what was written since is gone, and its
+        revisions are given out again."""
+        self.revision, self.objects, self.events = copy.deepcopy(taken)
+        self.lists.clear()
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def answer(self, writer, status, body=b""):
+        answer(writer, status, body, f"Store-Era: {self.era}\r\n")
+
     def put(self, kind, name, spec):
         self.revision += 1
         stored = {"Metadata": {"Name": name, "Revision": self.revision},
@@ -99,18 +117,23 @@
         known = self.objects.get(kind, {})
         lag_s = self.copy_lag_s if asked.get("Serializable") == "1" else 0.0
         if method == "GET" and "Watch" in asked:
+            after, era = int(asked["Watch"]), self.era
+            if after > self.revision:
+                self.answer(writer, 410, b"{}")
+                return
             seen, events = await self.changes(
-                kind, int(asked["Watch"]), int(asked["WaitMs"]) / 1000, lag_s)
-            if self.down:
+                kind, after, int(asked["WaitMs"]) / 1000, lag_s)
+            if self.down or self.era != era:
+                writer.close()
                 return
-            answer(writer, 200, json.dumps(
+            self.answer(writer, 200, json.dumps(
                 {"events": events, "AsOf": seen}).encode())
         elif method == "GET" and len(parts) == 1:
-            answer(writer, 200, self.list(kind, lag_s))
+            self.answer(writer, 200, self.list(kind, lag_s))
         elif method == "GET":
             found = known.get(parts[1])
-            answer(writer, 200 if found else 404,
-                   json.dumps(found or {}).encode())
+            self.answer(writer, 200 if found else 404,
+                        json.dumps(found or {}).encode())
         elif method == "DELETE":
             self.delete(writer, kind, known, parts[1], asked)
         else:
@@ -163,21 +186,21 @@
         changed = method == "PUT" and (
             found is None or found["Metadata"]["Revision"] != expected)
         if taken or changed:
-            answer(writer, 409, json.dumps(found or {}).encode())
+            self.answer(writer, 409, json.dumps(found or {}).encode())
             return
         stored = self.put(kind, name, wanted["Spec"])
-        answer(writer, 200, json.dumps(stored).encode())
+        self.answer(writer, 200, json.dumps(stored).encode())
 
     def delete(self, writer, kind, known, name, asked):
         found = known.get(name)
         is_other = found and "Revision" in asked and (
             found["Metadata"]["Revision"] != int(asked["Revision"]))
         if not found or is_other:
-            answer(writer, 409 if found else 404,
-                   json.dumps(found or {}).encode())
+            self.answer(writer, 409 if found else 404,
+                        json.dumps(found or {}).encode())
             return
         self.remove(kind, name)
-        answer(writer, 200, b"{}")
+        self.answer(writer, 200, b"{}")
 
 
 class Server:
