Control: forget what cut-off instances reported of engines

Two instances that are cut off from all engines confirmed to the sound ones that each engine was lost (engine_news_heard with lost: true), so that those refused requests as well.

A notice tells whether its sender is cut off. engine_faults can forget the reports of one instance, and the own failures of an instance that was cut off itself, so that it uses the engines at once when it reaches them again.

Not wired yet. Unit tests of the codec and of both kinds of forgetting pass.

--- a/source/control/engine_prober.cpp
+++ b/source/control/engine_prober.cpp
@@ -31,7 +31,10 @@
     : board{board}
     , engines{engines}
     , time{time}
-    , handlers{[](const server_id&, engine_observation) {}, [] {}}
+    , handlers{
+          [](const server_id&, engine_observation) {},
+          [](const server_id&) {},
+          [] {}}
     , faults{engine_faults::options{}}
 {
 }
@@ -222,6 +225,7 @@
             log::channel::routing,
             "engine_unanswered",
             {{"server", server.id.str()}, {"lost", lost}});
+        this->handlers.on_unanswered(server.id);
         this->handlers.share_observation(
             server.id, engine_observation::unanswered);
         return;
@@ -333,7 +337,11 @@
 std::vector<server_id> engine_prober::lost() const
 {
     const absl::MutexLock lock{&this->mutex};
-    const time_point now = this->time.now();
+    return this->lost_at(this->time.now());
+}
+
+std::vector<server_id> engine_prober::lost_at(time_point now) const
+{
     auto servers = this->faults.avoided(now);
     std::erase_if(
         servers,
@@ -345,4 +353,19 @@
     return servers;
 }
 
+bool engine_prober::forget_reports(const instance_id& from)
+{
+    const time_point now = this->time.now();
+    const absl::MutexLock lock{&this->mutex};
+    const std::size_t before = this->lost_at(now).size();
+    this->faults.forget_reports(from);
+    return this->lost_at(now).size() < before;
+}
+
+void engine_prober::forget_own_failures()
+{
+    const absl::MutexLock lock{&this->mutex};
+    this->faults.forget_own_failures(this->time.now());
+}
+
 } // namespace fireflysail
--- a/source/control/engine_prober.hpp
+++ b/source/control/engine_prober.hpp
@@ -62,6 +62,9 @@
         /// Sends an observation to the other instances.
         std::function<void(const server_id&, engine_observation)>
             share_observation;
+        /// A probe by this instance got no response.
+        std::function<void(const server_id&)> on_unanswered =
+            [](const server_id&) {};
         /// Schedules `probe_suspected`, because a probe is due now.
         std::function<void()> request_probe;
         /// The engine says that this boot of it leaves.
@@ -84,6 +87,13 @@
         const server_id& server,
         engine_observation observation);
 
+    /// Drops the failed probes that an instance reported: it is cut off from
+    /// the engines. Returns true if engines are no longer lost because of that.
+    bool forget_reports(const instance_id& from);
+
+    /// This instance reaches engines again after it was cut off from all.
+    void forget_own_failures();
+
     /// Probes every engine that is not lost, whether suspected or not.
     replies probe_all();
 
@@ -101,6 +111,8 @@
     std::vector<server_id> lost() const;
 
 private:
+    std::vector<server_id> lost_at(time_point now) const
+        ABSL_SHARED_LOCKS_REQUIRED(mutex);
     /// Probes one engine and updates its suspicion from the result.
     void probe(const engine& server, replies& received);
     void
--- a/source/notices/notice.hpp
+++ b/source/notices/notice.hpp
@@ -68,9 +68,25 @@
     bool operator==(const demand_notice&) const = default;
 };
 
+/// Tells peers whether an instance is cut off from all backend servers. Its
+/// requests then go to those that are not, and what it says of engines counts
+/// for nothing. See reach_monitor.
+struct reach_notice
+{
+    instance_id from;
+    bool is_cut_off = false;
+
+    bool operator==(const reach_notice&) const = default;
+};
+
 /// One datagram among instances.
-using peer_message = std::
-    variant<notice, store_progress, crash_notice, limit_notice, demand_notice>;
+using peer_message = std::variant<
+    notice,
+    store_progress,
+    crash_notice,
+    limit_notice,
+    demand_notice,
+    reach_notice>;
 
 const instance_id& sender_of(const peer_message& message);
 
--- a/source/notices/notice_codec.cpp
+++ b/source/notices/notice_codec.cpp
@@ -138,6 +138,11 @@
         return {};
     }
 
+    nlohmann::json operator()(const reach_notice& told) const
+    {
+        return {{"from", told.from.str()}, {"cut_off", told.is_cut_off}};
+    }
+
     nlohmann::json operator()(const limit_notice& told) const
     {
         nlohmann::json fields = std::visit(limit_encoder{}, told.message);
@@ -399,6 +404,11 @@
     {
         message = decode_notice(fields);
     }
+    else if (document->contains("cut_off"))
+    {
+        message = reach_notice{
+            instance_id{fields.string("from")}, fields.boolean("cut_off")};
+    }
     else if (is_limit_notice(*document))
     {
         message = decode_limit(fields);
--- a/source/routing/engine_faults.cpp
+++ b/source/routing/engine_faults.cpp
@@ -87,6 +87,26 @@
     ++this->changes;
 }
 
+void engine_faults::forget_reports(const instance_id& from)
+{
+    for (auto& [server, known] : this->records)
+    {
+        this->changes += std::erase(known.reporting_instances, from);
+    }
+}
+
+void engine_faults::forget_own_failures(time_point now)
+{
+    for (auto& [server, known] : this->records)
+    {
+        known.failed_probes = 0;
+        known.refusals = 0;
+        known.length = duration::zero();
+        known.until = std::min(known.until, now);
+    }
+    ++this->changes;
+}
+
 bool engine_faults::last_probe_failed(const server_id& server) const
 {
     const auto known = this->records.find(server);
--- a/source/routing/engine_faults.hpp
+++ b/source/routing/engine_faults.hpp
@@ -101,6 +101,14 @@
     /// A probe by another instance succeeded after it had failed before.
     void remote_probe_succeeded(const server_id& server, time_point now);
 
+    /// Removes the reports of an instance that is itself disconnected from the
+    /// engines.
+    void forget_reports(const instance_id& from);
+
+    /// Removes what this instance found by itself: it was disconnected from all
+    /// engines, so that its failed requests and probes say nothing of them.
+    void forget_own_failures(time_point now);
+
     /// Whether the last probe failed.
     bool last_probe_failed(const server_id& server) const;
 
--- a/unit_tests/notices/notice_codec_test.cpp
+++ b/unit_tests/notices/notice_codec_test.cpp
@@ -53,6 +53,14 @@
     CHECK_FALSE(decode_message(R"({"from":"a","quarantined":[7]})"));
 }
 
+TEST_CASE("a notice of a cut-off instance is read as it was written")
+{
+    const reach_notice told{instance_id{"entry-1"}, GENERATE(false, true)};
+    CHECK(decode_message(encode(told)) == peer_message{told});
+    CHECK_FALSE(decode_message(R"({"from":"a","cut_off":"yes"})"));
+    CHECK_FALSE(decode_message(R"({"cut_off":true})"));
+}
+
 TEST_CASE("messages about limits of servers are read as they were written")
 {
     const server_limit known{
--- a/unit_tests/routing/engine_faults_test.cpp
+++ b/unit_tests/routing/engine_faults_test.cpp
@@ -223,3 +223,30 @@
     faults.remote_probe_succeeded(engine_a, start + 100ms);
     CHECK(faults.avoided(start + 399ms) == std::vector{engine_a});
 }
+
+TEST_CASE("reports of an instance that is cut off confirm no loss")
+{
+    engine_faults faults{{}};
+    faults.remote_probe_failed(engine_a, instance_id{"cut-1"}, start);
+    faults.remote_probe_failed(engine_a, instance_id{"cut-2"}, start);
+    REQUIRE(faults.is_lost(engine_a, start + 1s));
+    faults.forget_reports(instance_id{"cut-1"});
+    CHECK_FALSE(faults.is_lost(engine_a, start + 1s));
+    CHECK(faults.avoided(start + 1s).empty());
+    // A sound instance still counts beside the other report.
+    faults.remote_probe_failed(engine_a, instance_id{"sound"}, start + 1s);
+    CHECK(faults.is_lost(engine_a, start + 1s));
+}
+
+TEST_CASE("an instance that was cut off uses engines again at once")
+{
+    engine_faults faults{{}};
+    faults.report(engine_a, engine_fault::unreachable, start);
+    faults.probe_failed(engine_a, start);
+    faults.probe_failed(engine_a, start + 300ms);
+    REQUIRE(faults.is_gone(engine_a));
+    faults.forget_own_failures(start + 600ms);
+    CHECK_FALSE(faults.is_gone(engine_a));
+    CHECK(faults.avoided(start + 600ms).empty());
+    CHECK(faults.take_due_probes(start + 1s).empty());
+}
