Store: revisions carry the era of the store

What callers saw: after the store came back from a copy some seconds old, the instances that had read it furthest, among them always the one that confirms the views of all, kept their configuration. They refused requests of added routes with 404 and had others run by the old service (CONFIG, DENIED).

Cause: the store gives out its revisions again, and a view compares revisions alone. Its lists were dropped as those of a lagging replica, and its watches waited for changes beyond a revision that the store had not reached, until as many changes had been written again.

The adapter composes the revision with the era that each answer names (Store-Era, 24 bits above 40), so that each comparison of positions, by views, peers, leases and fences, orders eras first. A watch from an earlier era has lost its history, running watches end when another call shows a new era, an answer of an earlier era is one of a replica that is behind, and a write over a revision of an earlier era conflicts without being sent. Servers that were marked as leaving stay so for that boot, and those that the copy lacks get the time to register again.

--- a/source/control/server_directory.cpp
+++ b/source/control/server_directory.cpp
@@ -23,6 +23,12 @@
     this->last_response = now;
 }
 
+void server_directory::on_store_restored(time_point now)
+{
+    this->reconnected_at = now;
+    this->last_response = now;
+}
+
 void server_directory::replace_all(
     std::vector<server_entry> entries, time_point now)
 {
--- a/source/control/server_directory.hpp
+++ b/source/control/server_directory.hpp
@@ -33,6 +33,10 @@
     /// Records that the store responded, whatever the response.
     void on_store_response(time_point now);
 
+    /// The store came back from an older copy, which may lack entries: their
+    /// servers get the time to write them again, as after an outage.
+    void on_store_restored(time_point now);
+
     /// Replaces the directory by a complete listing of the store.
     void replace_all(std::vector<server_entry> entries, time_point now);
 
--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -1,6 +1,7 @@
 #include "control/traffic_controller.hpp"
 
 #include "common/log.hpp"
+#include "common/store_era.hpp"
 #include "control/fleet_builder.hpp"
 #include "routing/pipeline.hpp"
 
@@ -140,7 +141,7 @@
             log::level::error,
             log::channel::control,
             "config_rejected",
-            {{"revision", object.version.value()},
+            {{"revision", change_number_of(object.version)},
              {"error", decoded.error().message()}});
         return;
     }
@@ -157,7 +158,7 @@
         log::channel::control,
         "config_in_force",
         {{"version", next->version},
-         {"revision", object.version.value()},
+         {"revision", change_number_of(object.version)},
          {"hosts", next->routes.size()},
          {"keys", next->keys.size()}});
     this->board.traffic.publish(std::move(next));
@@ -165,6 +166,20 @@
     this->publish_fleet();
 }
 
+void traffic_controller::on_restored(time_point now)
+{
+    // The copy may show a server as ready that was marked as leaving since; a
+    // boot that leaves does not come back.
+    for (const server_entry& entry : this->directory.entries())
+    {
+        if (entry.mark == server_mark::leaving && entry.started_at_ms != 0)
+        {
+            this->leaving.add(entry.id, entry.started_at_ms);
+        }
+    }
+    this->directory.on_store_restored(now);
+}
+
 std::optional<server_entry>
 traffic_controller::decode_entry(const stored_object& object) const
 {
@@ -177,7 +192,7 @@
             log::channel::control,
             "server_entry_unreadable",
             {{"server", object.key.name},
-             {"revision", object.version.value()},
+             {"revision", change_number_of(object.version)},
              {"bytes", object.value.size()}});
         return std::nullopt;
     }
@@ -200,7 +215,7 @@
             log::channel::control,
             "most_engines_listed",
             {{"engines", fleet->engines.size()},
-             {"revision", this->servers_version.value()}});
+             {"revision", change_number_of(this->servers_version)}});
     }
     for (engine& server : fleet->engines)
     {
@@ -271,6 +286,11 @@
     const absl::MutexLock lock{&this->owner.mutex};
     const time_point now = this->owner.time.now();
     this->owner.directory.on_store_response(now);
+    if (this->owner.has_servers &&
+        era_of(snapshot.version) > era_of(this->owner.servers_version))
+    {
+        this->owner.on_restored(now);
+    }
     this->owner.directory.replace_all(std::move(entries), now);
     this->owner.servers_version = snapshot.version;
     this->owner.has_servers = true;
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -105,6 +105,8 @@
     };
 
     void apply_config(const stored_object& object);
+    /// The servers come from a later era than those known.
+    void on_restored(time_point now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::optional<server_entry> decode_entry(const stored_object& object) const;
     void publish_fleet() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     /// The directory with the marks that servers gave themselves in answers.
--- a/unit_tests/control/traffic_controller_test.cpp
+++ b/unit_tests/control/traffic_controller_test.cpp
@@ -1,6 +1,7 @@
 #include "control/traffic_controller.hpp"
 
 #include "common/error.hpp"
+#include "common/store_era.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -13,7 +14,7 @@
 {
 
 /// A configuration's value is its version, a server's value its service and,
-/// after an @, its boot; other values do not decode.
+/// after an @, its boot, with a ! if it leaves; other values do not decode.
 traffic_objects simple_objects()
 {
     return {
@@ -54,6 +55,8 @@
             entry.started_at_ms =
                 at == text.npos ? 0
                                 : std::stoull(std::string{text.substr(at + 1)});
+            entry.mark = text.ends_with('!') ? server_mark::leaving
+                                             : server_mark::serving;
             entry.kind = accelerator_kind{"t4"};
             entry.layers = {
                 {{layer_index{0}, layer_index{8}}, model_version{"1"}}};
@@ -218,3 +221,38 @@
         CHECK(mark() == server_mark::serving);
     }
 }
+
+TEST_CASE_METHOD(
+    fixture, "a server that leaves does not come back with a restored store")
+{
+    const auto restored_with = [this](const char* value)
+    {
+        this->traffic.servers_consumer().on_snapshot(
+            {make_revision(store_era{2}, 5),
+             {make("servers", "s1", value, 5)}});
+        return this->board.fleet.load()->services.front().mark;
+    };
+    this->config("1", 1);
+    this->servers({make("servers", "s1", "desk@7!", 9)});
+    SECTION("in the same boot")
+    {
+        CHECK(restored_with("desk@7") == server_mark::leaving);
+    }
+    SECTION("but does in a later one")
+    {
+        CHECK(restored_with("desk@8") == server_mark::serving);
+    }
+}
+
+TEST_CASE_METHOD(
+    fixture, "servers that a restored store lacks get time to register again")
+{
+    this->config("1", 1);
+    this->servers({make("servers", "s1", "desk", 9)});
+    this->traffic.servers_consumer().on_snapshot(
+        {make_revision(store_era{2}, 5), {}});
+    CHECK(this->board.fleet.load()->services.size() == 1);
+    this->time.advance(1900ms);
+    this->traffic.expire_servers();
+    CHECK(this->board.fleet.load()->services.empty());
+}
--- a/unit_tests/platform/object_store_test.cpp
+++ b/unit_tests/platform/object_store_test.cpp
@@ -1,4 +1,5 @@
 #include "common/error.hpp"
+#include "common/store_era.hpp"
 #include "platform/object_store.hpp"
 #include "platform/server_codec.hpp"
 #include "scripted_store.hpp"
@@ -6,7 +7,10 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <atomic>
+#include <chrono>
 #include <string>
+#include <thread>
 
 using namespace fireflysail;
 using namespace fireflysail::platform;
@@ -165,3 +169,141 @@
         CHECK(server.connection_count() == 2);
     }
 }
+
+// Guards against an old view after the store came back from an older copy.
+TEST_CASE("what a restored store says is later than what it said before")
+{
+    const boot_clock time;
+    std::atomic<int> calls{0};
+    scripted_store server{
+        [&calls](const std::string& target) -> std::string
+        {
+            ++calls;
+            return target.find("Watch=") != std::string::npos
+                       ? R"({"events": [], "AsOf": 9})"
+                       : list_text(object_text("one", "\"text\""));
+        }};
+    server.era = 3;
+    object_store store{server.address(), time};
+    const auto before = store.list({kind}, time.now() + 10s);
+    REQUIRE(before);
+    const stored_object& old = before.value().objects.front();
+    CHECK(old.version == make_revision(store_era{3}, 7));
+    server.era = 4;
+    const auto after = store.list({kind}, time.now() + 10s);
+    REQUIRE(after);
+    CHECK(after.value().version > before.value().version);
+    const int before_calls = calls;
+    SECTION("a watch from before has lost its history")
+    {
+        const auto watched =
+            store.watch({kind}, before.value().version, time.now() + 10s);
+        CHECK(watched.error() == errc::compacted);
+    }
+    SECTION("a write over a version from before conflicts")
+    {
+        const auto written =
+            store.update(old.key, "value", old.version, time.now() + 10s);
+        CHECK(written.error() == errc::conflict);
+        const auto removed =
+            store.remove(old.key, old.version, time.now() + 10s);
+        CHECK(removed.error() == errc::conflict);
+    }
+    CHECK(calls == before_calls);
+}
+
+TEST_CASE("a watch that a restored store answers has lost its history")
+{
+    const boot_clock time;
+    scripted_store server{
+        [](const std::string&) -> std::string
+        {
+            return R"({"events": [], "AsOf": 9})";
+        }};
+    server.era = 4;
+    object_store store{server.address(), time};
+    const auto watched =
+        store.watch({kind}, make_revision(store_era{3}, 9), time.now() + 10s);
+    CHECK(watched.error() == errc::compacted);
+}
+
+TEST_CASE("a replica of an earlier era is behind")
+{
+    const boot_clock time;
+    scripted_store server{
+        [](const std::string&) -> std::string
+        {
+            return fmt::format(
+                R"({{"events": [{}], "AsOf": 99}})", event_text("one", sound));
+        }};
+    server.era = 3;
+    object_store store{server.address(), time, read_consistency::may_lag};
+    const revision view = make_revision(store_era{4}, 5);
+    const auto watched = store.watch({kind}, view, time.now() + 10s);
+    REQUIRE(watched);
+    CHECK(watched.value().next < view);
+    CHECK(watched.value().events.empty());
+}
+
+TEST_CASE("a watch ends once another call shows that the store was restored")
+{
+    const boot_clock time;
+    std::atomic<bool> is_watched{false};
+    std::atomic<bool> is_over{false};
+    scripted_store server{
+        [&](const std::string& target) -> std::string
+        {
+            if (target.find("Watch=") == std::string::npos)
+            {
+                return list_text("");
+            }
+            is_watched = true;
+            while (!is_over)
+            {
+                std::this_thread::sleep_for(1ms);
+            }
+            return R"({"events": [], "AsOf": 9})";
+        }};
+    server.era = 3;
+    object_store store{server.address(), time};
+    const auto listed = store.list({kind}, time.now() + 10s);
+    REQUIRE(listed);
+    std::error_code ended;
+    std::thread watcher{
+        [&]
+        {
+            ended =
+                store.watch({kind}, listed.value().version, time.now() + 60s)
+                    .error();
+        }};
+    while (!is_watched)
+    {
+        std::this_thread::sleep_for(1ms);
+    }
+    server.era = 4;
+    CHECK(store.list({kind}, time.now() + 10s));
+    watcher.join();
+    is_over = true;
+    CHECK(ended == errc::unavailable);
+}
+
+TEST_CASE("a list whose pages are of two eras is not used")
+{
+    const boot_clock time;
+    scripted_store* named = nullptr;
+    scripted_store server{
+        [&named](const std::string& target) -> std::string
+        {
+            const bool is_first = target.find("After=") == std::string::npos;
+            named->era = is_first ? 4 : 5;
+            return is_first
+                       ? fmt::format(
+                             R"({{"Items": [{}], "HasMore": true, "AsOf": 9}})",
+                             object_text("one", "\"text\""))
+                       : list_text("");
+        }};
+    named = &server;
+    object_store store{server.address(), time};
+    const auto listed = store.list({kind}, time.now() + 10s);
+    CHECK(listed.error() == errc::unavailable);
+}
--- a/unit_tests/platform/scripted_store.cpp
+++ b/unit_tests/platform/scripted_store.cpp
@@ -110,6 +110,10 @@
         http::response<http::string_body> response{http::status::ok, 11};
         const auto target = request.target();
         response.body() = this->answer({target.data(), target.size()});
+        if (const auto named = this->era.load(); named != 0)
+        {
+            response.set("Store-Era", std::to_string(named));
+        }
         response.prepare_payload();
         const absl::MutexLock lock{&this->mutex};
         if (!served.is_silent)
--- a/unit_tests/platform/scripted_store.hpp
+++ b/unit_tests/platform/scripted_store.hpp
@@ -7,7 +7,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <string>
@@ -37,6 +39,9 @@
 
     std::size_t connection_count() const;
 
+    /// Named by all answers unless zero.
+    std::atomic<std::uint64_t> era{0};
+
 private:
     struct connection
     {
