Leases: a lease that came back with the store is nobody's

The changes that a restored store lost may have passed a lease on. Its former holder went on with the restored record, or a released one was taken at once while a later holder still led.

A record names the era of the version that it replaced, and an instance is another incarnation in each era: a restored lease belongs to nobody, and the full term is waited out, also after a release. Fences rise with the era.

New unit tests: a restored own lease, a restored released one, and a renewal answered by the restored store.

--- a/source/control/leader_lease.cpp
+++ b/source/control/leader_lease.cpp
@@ -2,6 +2,8 @@
 
 #include "common/error.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -21,7 +23,8 @@
 leader_lease::leader_lease(
     instance_id self, std::string incarnation, lease_settings settings)
     : self{std::move(self)}
-    , incarnation{std::move(incarnation)}
+    , first_incarnation{std::move(incarnation)}
+    , incarnation{this->first_incarnation}
     , settings{settings}
 {
 }
@@ -80,7 +83,9 @@
     {
         // A missing object may have been removed while its holder still leads,
         // so the full term is waited out, as for a lease that is not renewed.
-        const bool is_free = this->observed && this->observed->record.released;
+        const bool is_free =
+            this->observed && this->observed->record.released &&
+            this->observed->record.era == era_of(this->observed->version);
         const auto free_at = this->observed_since + this->settings.term +
                              this->settings.drift_margin;
         if (is_free || now >= free_at)
@@ -124,6 +129,7 @@
         // A stale read says nothing about the current state of the lease.
         return;
     }
+    this->note_era(version);
     if (!this->has_read || version != known)
     {
         this->observed_since = now;
@@ -149,6 +155,12 @@
         }
         return;
     }
+    if (this->note_era(answer.value()))
+    {
+        // Written over a lease that came back with the store.
+        this->read_required = true;
+        return;
+    }
     const auto record = this->tracked_writes.back().record;
     this->observed = observed_lease{record, answer.value()};
     this->observed_since = now;
@@ -186,10 +198,28 @@
            record.incarnation == this->incarnation;
 }
 
+bool leader_lease::note_era(revision version)
+{
+    if (version == revision{})
+    {
+        return false;
+    }
+    const auto before = std::exchange(this->era, era_of(version));
+    if (!before || before == this->era)
+    {
+        return false;
+    }
+    this->incarnation =
+        fmt::format("{}-{}", this->first_incarnation, this->era->value());
+    this->confirmed.reset();
+    return true;
+}
+
 lease_action
 leader_lease::write(lease_record record, revision expected, time_point now)
 {
     record.write = ++this->writes;
+    record.era = era_of(expected);
     this->last_sent = now;
     if (this->tracked_writes.size() == max_tracked_writes)
     {
--- a/source/control/leader_lease.hpp
+++ b/source/control/leader_lease.hpp
@@ -3,6 +3,7 @@
 #include "common/clock.hpp"
 #include "common/identifiers.hpp"
 #include "common/result.hpp"
+#include "common/store_era.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -41,6 +42,9 @@
     /// itself.
     fencing_number fence;
     bool released = false;
+    /// Of the version that the write replaced. A store that came back from an
+    /// older copy shows records of an earlier era than its answers.
+    store_era era{};
 
     auto operator<=>(const lease_record&) const = default;
 };
@@ -80,6 +84,10 @@
 /// State machine that decides when to read, acquire, renew and release the
 /// lease of one duty. It performs no I/O and reads no clock; a pause of the
 /// process between calls only lets the lease expire.
+///
+/// A store that came back from an older copy shows a lease that may have passed
+/// on since: it is nobody's, its former holder's neither, and the full term is
+/// waited out even if it was released.
 class leader_lease
 {
 public:
@@ -126,13 +134,18 @@
     };
 
     bool is_own(const lease_record& record) const;
+    /// Returns true if the version is the first one of a later era, in which
+    /// this is another incarnation.
+    bool note_era(revision version);
     lease_action write(lease_record record, revision expected, time_point now);
     lease_action next_action_as_holder(time_point now);
     lease_action next_action_as_candidate(time_point now);
     void confirm(const lease_record& record, revision version, time_point now);
 
     const instance_id self;
-    const std::string incarnation;
+    const std::string first_incarnation;
+    /// Changes with the era.
+    std::string incarnation;
     const lease_settings settings;
 
     bool is_candidate = true;
@@ -151,6 +164,7 @@
     /// been lost.
     std::vector<sent_write> tracked_writes;
     std::optional<leadership> confirmed;
+    std::optional<store_era> era;
 };
 
 } // namespace fireflysail
--- a/source/control/lease_client.cpp
+++ b/source/control/lease_client.cpp
@@ -27,7 +27,8 @@
         {"life", record.incarnation},
         {"write", record.write},
         {"fence", record.fence.value()},
-        {"released", record.released}}
+        {"released", record.released},
+        {"era", record.era.value()}}
         .dump();
 }
 
@@ -46,6 +47,10 @@
     record.write = fields.unsigned_integer("write", max_number);
     record.fence = fencing_number{fields.unsigned_integer("fence", max_number)};
     record.released = fields.boolean("released");
+    if (fields.has("era"))
+    {
+        record.era = store_era{fields.unsigned_integer("era", max_era)};
+    }
     if (!mistakes.empty())
     {
         return errc::malformed;
--- a/unit_tests/control/leader_lease_test.cpp
+++ b/unit_tests/control/leader_lease_test.cpp
@@ -1,5 +1,7 @@
 #include "control/lease_client.hpp"
 
+#include "common/error.hpp"
+#include "common/store_era.hpp"
 #include "control/store_decorator.hpp"
 #include "store_model.hpp"
 
@@ -344,3 +346,72 @@
         at(14s));
     CHECK_FALSE(lease.latest());
 }
+
+namespace
+{
+
+constexpr store_era first_era{1};
+constexpr store_era second_era{2};
+
+std::optional<observed_lease>
+lease_of(const char* holder, store_era era, std::uint64_t number, bool released)
+{
+    return observed_lease{
+        {instance_id{holder}, "incarnation", 1, {}, released, first_era},
+        make_revision(era, number)};
+}
+
+} // namespace
+
+// Guards against a holder that goes on with a lease that was passed on in the
+// changes which the store lost.
+TEST_CASE("a lease that came back with the store is nobody's")
+{
+    leader_lease lease{instance_id{"a"}, "incarnation"};
+    (void)lease.next_action(at(0s));
+    lease.on_read(lease_of("b", first_era, 3, true), at(0s));
+    REQUIRE(std::holds_alternative<write_lease>(lease.next_action(at(0s))));
+    lease.on_written(make_revision(first_era, 20), at(0s));
+    const auto before = lease.held(at(1s));
+    REQUIRE(before);
+    // Its renewal conflicts, and the read after that shows its own lease.
+    REQUIRE(std::holds_alternative<write_lease>(lease.next_action(at(3s))));
+    lease.on_written(errc::conflict, at(3s));
+    REQUIRE(std::holds_alternative<read_lease>(lease.next_action(at(3s))));
+    lease.on_read(lease_of("a", second_era, 10, false), at(3s));
+    CHECK_FALSE(lease.held(at(3s)));
+    // Nobody renews it: free after the term and the margin.
+    CHECK_FALSE(
+        std::holds_alternative<write_lease>(lease.next_action(at(13'900ms))));
+    const auto taken = lease.next_action(at(14s));
+    REQUIRE(std::holds_alternative<write_lease>(taken));
+    CHECK(
+        std::get<write_lease>(taken).expected == make_revision(second_era, 10));
+    lease.on_written(make_revision(second_era, 11), at(14s));
+    REQUIRE(lease.held(at(14s)));
+    CHECK(lease.held(at(14s))->fence > before->fence);
+}
+
+TEST_CASE("a released lease that came back with the store is waited out")
+{
+    leader_lease lease{instance_id{"a"}, "incarnation"};
+    (void)lease.next_action(at(0s));
+    // Released in the first era; another instance may have taken it since.
+    lease.on_read(lease_of("b", second_era, 10, true), at(0s));
+    CHECK_FALSE(
+        std::holds_alternative<write_lease>(lease.next_action(at(10'900ms))));
+    CHECK(std::holds_alternative<write_lease>(lease.next_action(at(11s))));
+}
+
+TEST_CASE("an answer to a renewal that a restored store gave gives no term")
+{
+    leader_lease lease{instance_id{"a"}, "incarnation"};
+    (void)lease.next_action(at(0s));
+    lease.on_read(lease_of("b", first_era, 3, true), at(0s));
+    (void)lease.next_action(at(0s));
+    lease.on_written(make_revision(first_era, 20), at(0s));
+    REQUIRE(std::holds_alternative<write_lease>(lease.next_action(at(3s))));
+    lease.on_written(make_revision(second_era, 15), at(3s));
+    CHECK_FALSE(lease.held(at(3s)));
+    CHECK(std::holds_alternative<read_lease>(lease.next_action(at(3s))));
+}
