Registry: instances register again after the store was restored

An instance whose registration was lost with the changes of a restored store was never seen again by instances that started later, and a lower count was taken for an old list by all others, for good.

An instance that a list of a later era lacks registers again; a lower count of a later era is believed once every instance has had two counts' time for that.

--- a/source/control/instance_registry.cpp
+++ b/source/control/instance_registry.cpp
@@ -28,6 +28,9 @@
 
 constexpr duration retry_delay = 2s;
 
+/// By then each instance has listed the others again and found itself missing.
+constexpr duration registered_again_after = count_interval * 2;
+
 void log_failure(std::string_view what, const std::error_code& error)
 {
     log::event(
@@ -127,11 +130,14 @@
         this->next_count = now + retry_delay;
         return;
     }
+    const store_era listed_in = era_of(listed.value().version);
+    bool lists_self = false;
     auto found = std::make_shared<std::vector<peer_instance>>();
     for (const stored_object& object : listed.value().objects)
     {
         const auto peer = decode_peer(object);
         const bool is_self = object.key.name == this->self.id.str();
+        lists_self |= is_self;
         if (!is_self && peer)
         {
             found->push_back(*peer);
@@ -141,13 +147,19 @@
             this->update_registration(object, now);
         }
     }
+    if (!lists_self && this->counted_in && listed_in > *this->counted_in)
+    {
+        this->register_self(now);
+        return;
+    }
     const std::size_t total = listed.value().objects.size();
-    if (total < this->counted.load())
+    if (total < this->counted.load() && !this->is_loss_believed(listed_in, now))
     {
-        // Registrations are not removed, so this list is older than the last.
         this->next_count = now + retry_delay;
         return;
     }
+    this->counted_in = listed_in;
+    this->fewer_since.reset();
     this->known_peers.publish(std::move(found));
     if (total != this->counted.exchange(total))
     {
@@ -155,11 +167,24 @@
             log::level::info,
             log::channel::control,
             "instances_counted",
-            {{"count", total}, {"revision", listed.value().version.value()}});
+            {{"count", total},
+             {"revision", change_number_of(listed.value().version)},
+             {"era", listed_in.value()}});
     }
     this->next_count = now + count_interval;
 }
 
+bool instance_registry::is_loss_believed(store_era listed_in, time_point now)
+{
+    if (!this->counted_in || listed_in <= *this->counted_in)
+    {
+        // Registrations are not removed, so this list is older than the last.
+        return false;
+    }
+    this->fewer_since = this->fewer_since.value_or(now);
+    return now >= *this->fewer_since + registered_again_after;
+}
+
 void instance_registry::update_registration(
     const stored_object& written, time_point now)
 {
--- a/source/control/instance_registry.hpp
+++ b/source/control/instance_registry.hpp
@@ -4,11 +4,13 @@
 #include "common/clock.hpp"
 #include "common/identifiers.hpp"
 #include "common/snapshot_cell.hpp"
+#include "common/store_era.hpp"
 #include "store/store.hpp"
 
 #include <atomic>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -27,8 +29,9 @@
 /// Registers this instance in the store and counts the registered instances.
 /// Objects of stopped instances are not removed, so the count may be too high.
 /// That is the safe error for limits divided among the instances: each share
-/// gets smaller. Used by one thread, except that `count`, `peers` and
-/// `has_peer` may be called from any thread.
+/// gets smaller. A store that came back from an older copy may lack instances,
+/// which register again before a lower count is believed. Used by one thread,
+/// except that `count`, `peers` and `has_peer` may be called from any thread.
 class instance_registry
 {
 public:
@@ -67,6 +70,8 @@
     /// incarnation at another address.
     void update_registration(const stored_object& written, time_point now);
     void count_instances(time_point now);
+    /// Whether a list with fewer instances than were counted is used.
+    bool is_loss_believed(store_era listed_in, time_point now);
 
     const peer_instance self;
     store& objects;
@@ -74,6 +79,10 @@
     const clock& time;
     time_point next_count{};
     bool registered = false;
+    /// Of the latest list that was used.
+    std::optional<store_era> counted_in;
+    /// Since when lists of a later era have shown fewer instances.
+    std::optional<time_point> fewer_since;
     std::atomic<std::size_t> counted{0};
     snapshot_cell<std::vector<peer_instance>> known_peers;
 };
--- a/unit_tests/control/instance_registry_test.cpp
+++ b/unit_tests/control/instance_registry_test.cpp
@@ -1,5 +1,7 @@
 #include "control/instance_registry.hpp"
 
+#include "common/store_era.hpp"
+#include "control/store_decorator.hpp"
 #include "store_model.hpp"
 
 #include <catch2/catch.hpp>
@@ -126,3 +128,92 @@
     CHECK(first.count() == 2);
     CHECK(*first.peers() == std::vector{b});
 }
+
+namespace
+{
+
+/// Shows another store's objects as of an era.
+class restored_store final : public testing::store_decorator
+{
+public:
+    using store_decorator::store_decorator;
+
+    result<store_snapshot>
+    list(const std::vector<std::string>& kinds, time_point deadline) override
+    {
+        auto listed = this->store_decorator::list(kinds, deadline);
+        if (!listed)
+        {
+            return listed;
+        }
+        store_snapshot shown = std::move(listed).value();
+        shown.version = make_revision(this->era, shown.version.value());
+        return shown;
+    }
+
+    store_era era{1};
+};
+
+} // namespace
+
+TEST_CASE("an instance that a restored store lacks registers again")
+{
+    manual_clock time;
+    store_model model{time};
+    restored_store objects{model};
+    const peer_instance a{instance_id{"a"}, {"10.1.0.1", 7340}};
+    const peer_instance b{instance_id{"b"}, {"10.1.0.2", 7340}};
+    instance_registry first{a, objects, objects, time};
+    instance_registry second{b, objects, objects, time};
+    first.step();
+    second.step();
+    time.advance(3s);
+    first.step();
+    second.step();
+    REQUIRE(first.count() == 2);
+    // The copy was taken before the second one registered.
+    const object_key lost{instance_registry::kind, "b"};
+    const auto written = model.get(lost, time.now() + 1s);
+    REQUIRE(model.remove(lost, written.value().version, time.now() + 1s));
+    objects.era = store_era{2};
+    time.advance(20s);
+    first.step();
+    CHECK(first.count() == 2);
+    second.step();
+    time.advance(3s);
+    first.step();
+    second.step();
+    CHECK(first.count() == 2);
+    CHECK(second.count() == 2);
+    CHECK(*first.peers() == std::vector{b});
+}
+
+TEST_CASE("an instance that does not register again is forgotten")
+{
+    manual_clock time;
+    store_model model{time};
+    restored_store objects{model};
+    const peer_instance a{instance_id{"a"}, {"10.1.0.1", 7340}};
+    const peer_instance b{instance_id{"b"}, {"10.1.0.2", 7340}};
+    instance_registry first{a, objects, objects, time};
+    instance_registry stopped{b, objects, objects, time};
+    first.step();
+    stopped.step();
+    time.advance(3s);
+    first.step();
+    REQUIRE(first.count() == 2);
+    const object_key lost{instance_registry::kind, "b"};
+    const auto written = model.get(lost, time.now() + 1s);
+    REQUIRE(model.remove(lost, written.value().version, time.now() + 1s));
+    objects.era = store_era{2};
+    time.advance(20s);
+    first.step();
+    CHECK(first.count() == 2);
+    for (int passed = 0; passed < 20; ++passed)
+    {
+        time.advance(2s);
+        first.step();
+    }
+    CHECK(first.count() == 1);
+    CHECK(first.peers()->empty());
+}
--- a/unit_tests/control/store_decorator.hpp
+++ b/unit_tests/control/store_decorator.hpp
@@ -15,7 +15,7 @@
 
 /// Forwards calls and runs hooks around them, so that a test can interleave
 /// concurrent callers at every step on one thread.
-class store_decorator final : public store
+class store_decorator : public store
 {
 public:
     using hook = std::function<void()>;
