Control: a leader orders nothing on the word of others alone

Orders cannot be taken back, so that a loss counts for the leader only once a probe of its own failed too; it asks the engines that others report at once. The other instances go on to avoid what two instances report.

New unit test of engine_faults.

--- a/source/control/engine_prober.cpp
+++ b/source/control/engine_prober.cpp
@@ -353,6 +353,12 @@
     return servers;
 }
 
+void engine_prober::require(engine_faults::loss_evidence evidence)
+{
+    const absl::MutexLock lock{&this->mutex};
+    this->faults.require(evidence);
+}
+
 bool engine_prober::forget_reports(const instance_id& from)
 {
     const time_point now = this->time.now();
--- a/source/control/engine_prober.hpp
+++ b/source/control/engine_prober.hpp
@@ -87,6 +87,9 @@
         const server_id& server,
         engine_observation observation);
 
+    /// See engine_faults::require().
+    void require(engine_faults::loss_evidence evidence);
+
     /// Drops the failed probes that an instance reported: it is cut off from
     /// the engines. Returns true if engines are no longer lost because of that.
     bool forget_reports(const instance_id& from);
--- a/source/routing/engine_faults.cpp
+++ b/source/routing/engine_faults.cpp
@@ -10,6 +10,12 @@
 {
 }
 
+void engine_faults::require(loss_evidence evidence)
+{
+    this->changes += this->required == evidence ? 0 : 1;
+    this->required = evidence;
+}
+
 void engine_faults::report(
     const server_id& server, engine_fault fault, time_point now)
 {
@@ -236,8 +242,10 @@
     const bool refuses = known.refusals >= this->chosen.refusals_to_confirm &&
                          known.has_capacity &&
                          now < known.until + this->chosen.refusal_pause;
+    const bool has_evidence = this->required == loss_evidence::any_instances ||
+                              known.failed_probes > 0;
     return refuses || this->is_gone(known) ||
-           this->is_confirmed_remotely(known, now);
+           (has_evidence && this->is_confirmed_remotely(known, now));
 }
 
 std::uint64_t engine_faults::version() const
--- a/source/routing/engine_faults.hpp
+++ b/source/routing/engine_faults.hpp
@@ -77,6 +77,18 @@
 
     explicit engine_faults(const options& chosen);
 
+    /// What confirms the loss of an engine.
+    enum class loss_evidence
+    {
+        /// Failed probes of two instances, be they others or not.
+        any_instances,
+        /// The same, and a probe of this instance failed. For an instance whose
+        /// orders follow from the loss: the others may be cut off together.
+        own_probe,
+    };
+
+    void require(loss_evidence evidence);
+
     void report(const server_id& server, engine_fault fault, time_point now);
 
     /// The engine responded to a probe and holds the expected layers. Ends a
@@ -184,6 +196,7 @@
     bool is_lost(const record& known, time_point now) const;
 
     options chosen;
+    loss_evidence required = loss_evidence::any_instances;
     absl::flat_hash_map<server_id, record> records;
     std::uint64_t changes = 0;
 };
--- a/unit_tests/routing/engine_faults_test.cpp
+++ b/unit_tests/routing/engine_faults_test.cpp
@@ -250,3 +250,20 @@
     CHECK(faults.avoided(start + 600ms).empty());
     CHECK(faults.take_due_probes(start + 1s).empty());
 }
+
+// Guards against a leader that loads layers anew as cut-off peers miss engines.
+TEST_CASE("reports of others alone are no loss to a leader")
+{
+    engine_faults faults{engine_faults::options{}};
+    faults.require(engine_faults::loss_evidence::own_probe);
+    faults.remote_probe_failed(engine_a, instance_id{"1"}, start);
+    faults.remote_probe_failed(engine_a, instance_id{"2"}, start);
+    CHECK_FALSE(faults.is_lost(engine_a, start));
+    // It asks the engine by itself.
+    CHECK(
+        faults.take_due_probes(
+            start, engine_faults::remote_reports::included) ==
+        std::vector{engine_a});
+    faults.probe_failed(engine_a, start + 100ms);
+    CHECK(faults.is_lost(engine_a, start + 100ms));
+}
