Control: an instance that reaches no engine gives up the lead

duty_thread asks whether the duty can be carried out, releases the lease while it cannot, and stands for it again after that. New unit test.

--- a/source/control/duty_thread.cpp
+++ b/source/control/duty_thread.cpp
@@ -21,10 +21,12 @@
 duty_thread::duty_thread(
     lease_client lease,
     leader_task run_as_leader,
+    std::function<bool()> can_lead,
     std::function<bool()> needs_leader,
     std::function<void()> periodic_task)
     : lease{std::move(lease)}
     , run_as_leader{std::move(run_as_leader)}
+    , can_lead{std::move(can_lead)}
     , needs_leader{std::move(needs_leader)}
     , periodic_task{std::move(periodic_task)}
 {
@@ -82,6 +84,28 @@
     return is_fenced ? std::nullopt : latest;
 }
 
+void duty_thread::update_ability()
+{
+    const bool is_able_now = this->can_lead();
+    if (std::exchange(this->is_able, is_able_now) == is_able_now)
+    {
+        return;
+    }
+    log::event(
+        log::level::info,
+        log::channel::control,
+        "ability_to_lead",
+        {{"able", is_able_now}, {"led", this->is_leader()}});
+    if (is_able_now)
+    {
+        this->lease.resume();
+    }
+    else
+    {
+        this->lease.release();
+    }
+}
+
 void duty_thread::step(bool start_release)
 {
     if (start_release)
@@ -90,6 +114,10 @@
         this->lease.release();
     }
     if (!this->release_started)
+    {
+        this->update_ability();
+    }
+    if (!this->release_started && this->is_able)
     {
         this->lease.set_candidate(
             this->current_leadership().has_value() || this->needs_leader());
@@ -112,13 +140,14 @@
             {{"fence", current ? current->fence.value() : 0},
              {"lease_valid", this->lease.held().has_value()}});
     }
-    if (current)
+    if (current && this->is_able)
     {
         const bool accepted = this->run_as_leader(
             *current,
             [this]
             {
-                return this->current_leadership().has_value();
+                return this->current_leadership().has_value() &&
+                       this->can_lead();
             });
         if (!accepted)
         {
--- a/source/control/duty_thread.hpp
+++ b/source/control/duty_thread.hpp
@@ -29,6 +29,8 @@
         const leadership& current,
         const std::function<bool()>& is_still_leader)>;
 
+    /// `can_lead` returns whether this instance can carry out the duty; while
+    /// it cannot, the lease is given up, and no work is done as leader.
     /// `needs_leader` returns whether the duty lacks a leader; the lease is
     /// requested only then, because every store call has a cost.
     /// `periodic_task` runs at the end of each step, whether or not this
@@ -36,6 +38,7 @@
     duty_thread(
         lease_client lease,
         leader_task run_as_leader,
+        std::function<bool()> can_lead,
         std::function<bool()> needs_leader,
         std::function<void()> periodic_task);
     ~duty_thread();
@@ -61,10 +64,13 @@
 private:
     void run();
     void step(bool start_release);
+    /// Gives up the lease while the duty cannot be carried out.
+    void update_ability();
     std::optional<leadership> current_leadership() const;
 
     lease_client lease;
     const leader_task run_as_leader;
+    const std::function<bool()> can_lead;
     const std::function<bool()> needs_leader;
     const std::function<void()> periodic_task;
 
@@ -75,6 +81,7 @@
     bool leading ABSL_GUARDED_BY(mutex) = false;
     bool lease_is_valid ABSL_GUARDED_BY(mutex) = false;
     bool release_started = false;
+    bool is_able = true;
     /// Fencing number that was refused because of a later leader.
     std::optional<fencing_number> refused_fence;
     std::thread thread;
--- a/source/control/leader_lease.cpp
+++ b/source/control/leader_lease.cpp
@@ -40,6 +40,11 @@
     this->is_candidate = false;
 }
 
+void leader_lease::resume()
+{
+    this->releasing = false;
+}
+
 lease_action leader_lease::next_action(time_point now)
 {
     if (now < this->next_call_at)
--- a/source/control/leader_lease.hpp
+++ b/source/control/leader_lease.hpp
@@ -105,6 +105,9 @@
     /// release: no other instance can become leader before that.
     void release();
 
+    /// Ends a release: the lease may be acquired again.
+    void resume();
+
     /// Returns the next action. For a write, `now` is taken as the time before
     /// it was sent, and its result is passed to `on_written`.
     lease_action next_action(time_point now);
--- a/source/control/lease_client.cpp
+++ b/source/control/lease_client.cpp
@@ -108,6 +108,11 @@
     this->lease.release();
 }
 
+void lease_client::resume()
+{
+    this->lease.resume();
+}
+
 void lease_client::read()
 {
     const auto object = this->objects.get(
--- a/source/control/lease_client.hpp
+++ b/source/control/lease_client.hpp
@@ -44,6 +44,9 @@
     /// Releases the lease; the store is updated by the next `step`.
     void release();
 
+    /// Ends a release: the lease may be acquired again.
+    void resume();
+
 private:
     void read();
     void write(const write_lease& wanted);
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -155,6 +155,10 @@
               return this->layout.step(led, leads);
           },
           [this]
+          {
+              return !this->is_cut_off;
+          },
+          [this]
           {
               // Also where another leads: it notes since when work is due.
               const bool is_due = this->layout.is_takeover_due();
@@ -164,6 +168,10 @@
           {
               this->note_store();
               this->traffic.expire_servers();
+              this->inquiry.require(
+                  this->duty.is_leader()
+                      ? engine_faults::loss_evidence::own_probe
+                      : engine_faults::loss_evidence::any_instances);
               this->ask_suspects();
               // A store that does not answer must not hold up repairs.
               if (!this->store_is_lost)
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -226,6 +226,8 @@
     /// Used by the duties' thread alone.
     time_point last_survey{};
     std::atomic<bool> store_is_lost = false;
+    /// No backend server can be reached. Written by the traffic thread.
+    std::atomic<bool> is_cut_off = false;
     std::atomic<time_point> leader_heard_at{};
 };
 
--- a/unit_tests/control/duty_thread_test.cpp
+++ b/unit_tests/control/duty_thread_test.cpp
@@ -27,6 +27,10 @@
             return true;
         },
         []
+        {
+            return true;
+        },
+        []
         {
             return false;
         },
@@ -52,3 +56,60 @@
     wait_for_steps(before + 3);
     CHECK(steps >= before + 3);
 }
+
+TEST_CASE("an instance that cannot carry out a duty gives up its lease")
+{
+    const boot_clock time;
+    store_model objects{time};
+    lease_settings quick;
+    quick.term = 300ms;
+    quick.renew_interval = 50ms;
+    quick.drift_margin = 20ms;
+    std::atomic<bool> can_lead{true};
+    std::atomic<int> done{0};
+    duty_thread duty{
+        lease_client{
+            duty_id{"placement"},
+            leader_lease{instance_id{"a"}, "incarnation", quick},
+            objects,
+            time},
+        [&done](const leadership&, const std::function<bool()>&)
+        {
+            ++done;
+            return true;
+        },
+        [&can_lead]
+        {
+            return can_lead.load();
+        },
+        []
+        {
+            return true;
+        },
+        [] {}};
+    // Only ends a test that hangs.
+    const time_point patience = time.now() + 20s;
+    const auto wait_until = [&](bool leads)
+    {
+        while (duty.is_leader() != leads && time.now() < patience)
+        {
+            std::this_thread::sleep_for(5ms);
+        }
+        return duty.is_leader() == leads;
+    };
+    duty.start();
+    REQUIRE(wait_until(true));
+    can_lead = false;
+    REQUIRE(wait_until(false));
+    const auto released = objects.get({"lease", "placement"}, time.now() + 1s);
+    REQUIRE(released);
+    CHECK(decode_lease(released.value().value).value().released);
+    const int before = done;
+    can_lead = true;
+    CHECK(wait_until(true));
+    while (done == before && time.now() < patience)
+    {
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(done > before);
+}
