Relay: requests at a cut-off instance are served by another one

While an instance was cut off from all backend servers, its callers got 503 after 1.5 s, and the sound instances refused too, as they believed what the cut-off ones said of the engines.

The traffic thread feeds reach_monitor with connections, runs and probes that failed, and runs its rounds. An instance that is cut off tells its peers every 500 ms, and shares no failed probes while it is cut off or in doubt; its peers drop its earlier ones and heed no further ones. A run that broke while no server can be reached counts as no crash of its engine.

Meanwhile its requests go to a peer as the caller sent them, over TCP at the port of the notices, where instances take them from registered hosts only and never pass them on again. Of two peers drawn at random, the one with fewer requests of this instance is asked; another one only where nothing has run, or the request may run again. Streams are forwarded as they come, and end whole only where the peer's answer did. Requests in doubt wait for the verdict, about 0.3 s where connections are refused and 0.8 s where they hang.

--- a/source/control/instance_registry.cpp
+++ b/source/control/instance_registry.cpp
@@ -202,6 +202,17 @@
         });
 }
 
+bool instance_registry::has_host(std::string_view host) const
+{
+    const auto known = this->known_peers.load();
+    return std::ranges::any_of(
+        *known,
+        [host](const peer_instance& peer)
+        {
+            return peer.address.host == host;
+        });
+}
+
 std::size_t instance_registry::count() const
 {
     return this->counted.load();
--- a/source/control/instance_registry.hpp
+++ b/source/control/instance_registry.hpp
@@ -27,8 +27,8 @@
 /// Registers this instance in the store and counts the registered instances.
 /// Objects of stopped instances are not removed, so the count may be too high.
 /// That is the safe error for limits divided among the instances: each share
-/// gets smaller. Used by one thread, except that `count`, `peers` and
-/// `has_peer` may be called from any thread.
+/// gets smaller. Used by one thread, except that `count`, `peers`,
+/// `has_peer` and `has_host` may be called from any thread.
 class instance_registry
 {
 public:
@@ -61,6 +61,9 @@
     /// Returns true if a peer with this id is registered at the host.
     bool has_peer(const instance_id& id, std::string_view host) const;
 
+    /// Returns true if any peer is registered at the host.
+    bool has_host(std::string_view host) const;
+
 private:
     void register_self(time_point now);
     /// Replaces a registration that is malformed or was written by an earlier
--- a/source/main/relay_peers.cpp
+++ b/source/main/relay_peers.cpp
@@ -29,6 +29,9 @@
 /// prompts.
 constexpr std::size_t repeated_to = 3;
 
+/// An instance that is cut off says so this often.
+constexpr duration reach_interval = 500ms;
+
 /// What a leader told counts for this long: three tellings.
 constexpr duration leader_lifetime = 1600ms;
 
@@ -120,7 +123,17 @@
         this->crashes.on_peer_news(crash->news);
         return;
     }
+    if (const auto* reach = std::get_if<reach_notice>(&message))
+    {
+        this->on_peer_reach(*reach);
+        return;
+    }
     const auto& told = std::get<notice>(message);
+    if (told.news == engine_observation::unanswered &&
+        this->relay.peers.is_cut_off(told.from, this->time.now()))
+    {
+        return;
+    }
     const bool leaves = told.news == engine_observation::leaving;
     if (leaves)
     {
@@ -146,6 +159,15 @@
          {
              this->tell_others(server, news);
          },
+         [this](const server_id& server)
+         {
+             asio::post(
+                 this->io,
+                 [this, server]
+                 {
+                     this->relay.reach.on_failure(server);
+                 });
+         },
          [this]
          {
              this->duty.wake();
@@ -167,9 +189,56 @@
         this->send_to_peers(notice{
             this->settings.self, first_stage, engine_observation::congested});
     };
+    this->relay.reach.set_on_change(
+        [this]
+        {
+            this->on_reach_change();
+        });
     this->try_to_open_notices();
 }
 
+void relay_process::on_reach_change()
+{
+    if (!this->relay.reach.is_cut_off())
+    {
+        this->inquiry.forget_own_failures();
+        this->duty.wake();
+    }
+    this->share_reach();
+}
+
+void relay_process::share_reach()
+{
+    const bool is_cut_off = this->relay.reach.is_cut_off();
+    const time_point now = this->time.now();
+    const bool has_changed =
+        std::exchange(this->shared_cut_off, is_cut_off) != is_cut_off;
+    if (has_changed || (is_cut_off && now >= this->next_reach_notice))
+    {
+        this->next_reach_notice = now + reach_interval;
+        this->send_to_peers(reach_notice{this->settings.self, is_cut_off});
+    }
+}
+
+void relay_process::on_peer_reach(const reach_notice& told)
+{
+    const time_point now = this->time.now();
+    const bool was_cut_off = this->relay.peers.is_cut_off(told.from, now);
+    this->relay.peers.on_notice(told.from, told.is_cut_off, now);
+    if (told.is_cut_off && this->inquiry.forget_reports(told.from))
+    {
+        this->duty.wake();
+    }
+    if (told.is_cut_off != was_cut_off)
+    {
+        log::event(
+            log::level::info,
+            log::channel::routing,
+            "peer_reach_heard",
+            {{"from", told.from.str()}, {"cut_off", told.is_cut_off}});
+    }
+}
+
 void relay_process::try_to_open_notices()
 {
     const endpoint& own = this->settings.notices;
@@ -217,7 +286,13 @@
         [this, server, news]
         {
             this->doubt(server, news);
-            this->send_to_peers(notice{this->settings.self, server, news});
+            // What this instance cannot reach may answer all others.
+            const bool is_unsure = this->relay.reach.is_cut_off() ||
+                                   this->relay.reach.is_in_doubt();
+            if (news != engine_observation::unanswered || !is_unsure)
+            {
+                this->send_to_peers(notice{this->settings.self, server, news});
+            }
         });
 }
 
@@ -241,6 +316,7 @@
 void relay_process::update_rate_limits()
 {
     const auto peers = this->census.peers();
+    this->relay.peers.set_peers(peers);
     std::vector<instance_id> ids;
     std::ranges::transform(*peers, std::back_inserter(ids), &peer_instance::id);
     this->rate_limits.set_peers(
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -215,6 +215,10 @@
            [this]
            {
                return this->metrics_text();
+           },
+           [this](const std::string& host)
+           {
+               return this->census.has_host(host);
            }}}
     , signals{this->io, SIGTERM, SIGINT, SIGHUP}
     , drain_timer{this->io}
@@ -331,6 +335,7 @@
         });
     this->check_watches();
     this->share_progress();
+    this->share_reach();
 }
 
 void relay_process::check_watches()
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -164,6 +164,15 @@
     /// Whether another instance said lately that it leads.
     bool hears_leader() const;
 
+    /// This instance lost all backend servers, or reaches some again.
+    void on_reach_change();
+
+    /// Tells the other instances for as long as this one is cut off, and once
+    /// when that ends. Traffic thread.
+    void share_reach();
+
+    void on_peer_reach(const reach_notice& told);
+
     void on_peer_message(const peer_message& message);
 
     /// Tells in the log when the store is lost and regained.
@@ -220,6 +229,8 @@
     bool has_all_watches = false;
     time_point next_progress{};
     store_progress shared_progress;
+    time_point next_reach_notice{};
+    bool shared_cut_off = false;
     /// Watches that were ended since they were of no use any more.
     std::uint64_t watches_ended = 0;
 
--- a/source/main/relay_status.cpp
+++ b/source/main/relay_status.cpp
@@ -77,6 +77,9 @@
     add("pipelines", this->pipelines.first_stages().size());
     add("engines_avoided", this->inquiry.avoided().size());
     add("engines_lost", this->inquiry.lost().size());
+    add("cut_off", this->relay.reach.is_cut_off() ? 1 : 0);
+    add("requests_passed_on_total", this->relay.passed_on);
+    add("requests_taken_for_peers_total", this->relay.taken_for_peers);
     add("leads", this->duty.is_leader() ? 1 : 0);
     add("takes_notices", this->notices.is_open() ? 1 : 0);
     add("notices_sent_total", this->notices.counts.sent);
--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.hpp"
 #include "common/log.hpp"
 #include "common/store_era.hpp"
+#include "relay/peer_exchange.hpp"
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/strings/ascii.h>
@@ -111,8 +112,10 @@
 
 } // namespace
 
-caller_session::caller_session(relay_context& relay, tcp::socket accepted)
+caller_session::caller_session(
+    relay_context& relay, tcp::socket accepted, request_source source)
     : relay{relay}
+    , source{source}
     , caller{std::move(accepted)}
     , patience{
           relay.executor,
@@ -137,6 +140,7 @@
     while (true)
     {
         exchange next{this->relay, this->caller};
+        next.is_from_peer = this->source == request_source::peer;
         this->is_idle = true;
         const read_end got = co_await this->read_request(next);
         this->is_idle = false;
@@ -281,6 +285,14 @@
 
 std::optional<own_answer> caller_session::admit(exchange& next)
 {
+    if (next.is_from_peer)
+    {
+        ++this->relay.taken_for_peers;
+        if (const auto refusal = this->refuse_peer())
+        {
+            return refusal;
+        }
+    }
     next.config = this->relay.board.traffic.load();
     if (!next.config)
     {
@@ -308,12 +320,16 @@
         next.rank = holder->second.rank;
     }
     next.service = draw_service(*next.matched, this->relay.random);
-    this->relay.demand.on_arrival(
-        next.service,
-        next.urgency(),
-        this->relay.ranked_services.contains(next.service) ? next.workspace
-                                                           : workspace_id{},
-        this->relay.time.now());
+    if (!next.is_from_peer)
+    {
+        // The instance that passes it on has counted it.
+        this->relay.demand.on_arrival(
+            next.service,
+            next.urgency(),
+            this->relay.ranked_services.contains(next.service) ? next.workspace
+                                                               : workspace_id{},
+            this->relay.time.now());
+    }
     next.content = {fingerprint_of(next), next.facts.shared_parts};
     if (this->is_held_back(next))
     {
@@ -323,6 +339,17 @@
     return std::nullopt;
 }
 
+std::optional<own_answer> caller_session::refuse_peer() const
+{
+    if (this->relay.draining)
+    {
+        return own_answer::stopping;
+    }
+    return this->relay.reach.is_cut_off()
+               ? std::optional{own_answer::no_backend_server}
+               : std::nullopt;
+}
+
 bool caller_session::is_held_back(exchange& next)
 {
     crash_registry& crashes = this->relay.crashes;
@@ -366,9 +393,6 @@
     {
         next.end_copies();
     };
-    const local_demand::in_flight counted{
-        this->relay.demand,
-        service_rank_key(next.service.str(), next.urgency())};
     this->caller.watch(end_copies);
     io_deadline limit_timer{
         this->relay.executor,
@@ -379,6 +403,24 @@
             end_copies();
         }};
     limit_timer.set(next.deadline);
+    bool is_served = false;
+    if (should_pass_on(next))
+    {
+        is_served = co_await serve_at_peer(next);
+    }
+    if (!is_served)
+    {
+        co_await this->serve_here(next);
+    }
+    this->caller.unwatch();
+    this->log_end(next);
+}
+
+asio::awaitable<void> caller_session::serve_here(exchange& next)
+{
+    const local_demand::in_flight counted{
+        this->relay.demand,
+        service_rank_key(next.service.str(), next.urgency())};
     if (next.matched->kind == route_kind::stream)
     {
         co_await serve_stream(next);
@@ -387,8 +429,6 @@
     {
         co_await serve_plain(next);
     }
-    this->caller.unwatch();
-    this->log_end(next);
 }
 
 void caller_session::log_end(const exchange& served) const
@@ -410,6 +450,8 @@
          {"status", served.last_status},
          {"attempts", served.attempts},
          {"server", served.last_server.str()},
+         {"passed_to", served.passed_to.str()},
+         {"from_peer", served.is_from_peer},
          {"caller_left", this->caller.has_left()},
          {"expired", served.expired},
          {"first_event_ms",
@@ -451,7 +493,7 @@
     }
     const bool refused =
         served.last_status == refused_status && !served.own_reason.empty();
-    if (refused && served.matched != nullptr)
+    if (refused && served.matched != nullptr && !served.is_from_peer)
     {
         this->relay.demand.on_refusal(served.service, served.urgency(), now);
     }
--- a/source/relay/caller_session.hpp
+++ b/source/relay/caller_session.hpp
@@ -7,12 +7,23 @@
 namespace fireflysail
 {
 
+/// Who sends the requests of a connection.
+enum class request_source
+{
+    caller,
+    /// Another instance, which passes on those of its callers.
+    peer,
+};
+
 /// Serves the requests of one caller's connection, one after the other, until
 /// either side ends it.
 class caller_session
 {
 public:
-    caller_session(relay_context& relay, tcp::socket accepted);
+    caller_session(
+        relay_context& relay,
+        tcp::socket accepted,
+        request_source source = request_source::caller);
     ~caller_session();
 
     caller_session(const caller_session&) = delete;
@@ -42,13 +53,19 @@
     /// Reads, for a bounded time, what a refused caller still sends.
     asio::awaitable<void> discard_input();
     asio::awaitable<void> serve(exchange& next);
+    /// Sends it to the backend servers of this instance.
+    asio::awaitable<void> serve_here(exchange& next);
     std::optional<own_answer> admit(exchange& next);
 
+    /// Why a request of another instance is better served by a third one.
+    std::optional<own_answer> refuse_peer() const;
+
     /// Whether its content crashes backend servers.
     bool is_held_back(exchange& next);
     void log_end(const exchange& served) const;
 
     relay_context& relay;
+    const request_source source;
     caller_connection caller;
     io_deadline patience;
     bool is_idle = true;
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -1,6 +1,7 @@
 #include "relay/exchange.hpp"
 
 #include "common/log.hpp"
+#include "relay/peer_exchange.hpp"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
@@ -357,6 +358,14 @@
     }
     auto& counts = served.relay.pool.counts;
     ++(failed ? counts.failed : counts.opened);
+    if (!failed)
+    {
+        served.relay.reach.on_contact();
+    }
+    else if (!served.is_over())
+    {
+        served.relay.reach.on_failure(copy.server);
+    }
     co_return !failed && !served.is_over();
 }
 
@@ -552,11 +561,19 @@
     return {};
 }
 
-asio::awaitable<bool> is_crashed(exchange& served, const endpoint& address)
+asio::awaitable<bool>
+is_crashed(exchange& served, const server_id& server, const endpoint& address)
 {
+    reach_prober& reach = served.relay.reach;
+    reach.on_failure(server);
     backend_connection probe{served.relay.executor, address, {}};
     const io_error refused = co_await probe.open(connect_limit);
-    co_return static_cast<bool>(refused);
+    if (!refused)
+    {
+        reach.on_contact();
+    }
+    co_await wait_for_reach(served);
+    co_return refused && !reach.is_cut_off();
 }
 
 } // namespace fireflysail
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -97,6 +97,10 @@
     bool is_trial = false;
     /// What it has in common with a resend, and with other requests.
     request_content content;
+    /// Another instance sent it, as it is cut off from the backend servers.
+    bool is_from_peer = false;
+    /// The instance that it was sent to, if any.
+    instance_id passed_to;
     /// For the log: the last server and status.
     server_id last_server;
     unsigned last_status = 0;
@@ -225,8 +229,9 @@
 limit_wait wait_for_limit(exchange& served, duration waited, bool has_begun);
 
 /// After a run that broke: whether the server is gone, as told by a new
-/// connection.
-asio::awaitable<bool> is_crashed(exchange& served, const endpoint& address);
+/// connection. That none can be made to any server says nothing of this one.
+asio::awaitable<bool>
+is_crashed(exchange& served, const server_id& server, const endpoint& address);
 
 std::string_view name_of(own_answer why);
 
--- a/source/relay/message_codec.hpp
+++ b/source/relay/message_codec.hpp
@@ -108,6 +108,10 @@
     virtual void
     write_dispatch(http_fields& header, const dispatch_facts& facts) const = 0;
 
+    /// Sets for how long the caller will wait from now on.
+    virtual void
+    write_time_left(http_fields& header, duration time_left) const = 0;
+
     virtual answer_facts
     read_answer(unsigned status, const http_fields& header) const = 0;
 
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -1,6 +1,7 @@
 #include "relay/exchange.hpp"
 
 #include "relay/hedged_attempt.hpp"
+#include "relay/peer_exchange.hpp"
 #include "relay/plain_attempt.hpp"
 
 #include <algorithm>
@@ -77,7 +78,8 @@
     bool crashed = false;
     if (no_answer && !served.is_over())
     {
-        crashed = co_await is_crashed(served, copy.server.address);
+        crashed =
+            co_await is_crashed(served, copy.server.id, copy.server.address);
     }
     if (crashed)
     {
@@ -101,7 +103,7 @@
     asio::steady_timer pause{relay.executor};
     budget.credit(relay.time.now());
     relay.hedges.on_request(served.service, work, relay.time.now());
-    while (!served.is_over())
+    while (!served.is_over() && !should_pass_on(served))
     {
         is_stopping =
             !relay.stop.may_send(work, served.deadline, relay.time.now());
@@ -166,6 +168,17 @@
         co_return;
     }
     const bool promise = !state.may_have_run;
+    const bool may_run_elsewhere =
+        promise || (work == work_kind::idempotent &&
+                    served.attempts < served.matched->most_attempts);
+    if (may_run_elsewhere && !is_stopping && !state.refused)
+    {
+        const bool is_served = co_await pass_on_if_cut_off(served);
+        if (is_served)
+        {
+            co_return;
+        }
+    }
     if (promise && state.refused)
     {
         advise_after_backoff(
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -11,7 +11,9 @@
 #include "relay/backend_pool.hpp"
 #include "relay/hedging.hpp"
 #include "relay/message_codec.hpp"
+#include "relay/peer_balancer.hpp"
 #include "relay/rate_limit_gate.hpp"
+#include "relay/reach_prober.hpp"
 #include "relay/request_memory.hpp"
 #include "relay/stall_monitor.hpp"
 #include "routing/congestion_tracker.hpp"
@@ -91,6 +93,11 @@
     /// Requests being served.
     std::size_t active_requests = 0;
     std::size_t open_connections = 0;
+    reach_prober reach{this->executor, this->time, this->board, this->random};
+    peer_balancer peers{peer_balancer::options{}};
+    /// Requests that were sent to another instance, and that others sent.
+    std::uint64_t passed_on = 0;
+    std::uint64_t taken_for_peers = 0;
 };
 
 /// Takes the number of instances among which retries are divided.
--- a/source/relay/relay_server.cpp
+++ b/source/relay/relay_server.cpp
@@ -54,9 +54,20 @@
           relay.node.callers,
           [this](tcp::socket accepted)
           {
-              this->take_caller(std::move(accepted));
+              this->take_caller(std::move(accepted), request_source::caller);
           }}
 {
+    if (relay.node.notices.port != 0)
+    {
+        this->peers.emplace(
+            io,
+            "peers",
+            relay.node.notices,
+            [this](tcp::socket accepted)
+            {
+                this->take_peer(std::move(accepted));
+            });
+    }
     const endpoint fixed{relay.node.callers.host, relay.node.metrics_port};
     std::vector<std::pair<std::string, endpoint>> places{
         {"readiness", relay.node.readiness}, {"control", relay.node.control}};
@@ -89,6 +100,10 @@
 void relay_server::start()
 {
     this->callers.start();
+    if (this->peers)
+    {
+        this->peers->start();
+    }
     for (listener& probe : this->probes)
     {
         probe.start();
@@ -104,6 +119,10 @@
 {
     std::vector<std::pair<std::string, bool>> all{
         {this->callers.name, this->callers.is_listening()}};
+    if (this->peers)
+    {
+        all.emplace_back(this->peers->name, this->peers->is_listening());
+    }
     std::ranges::transform(
         this->probes,
         std::back_inserter(all),
@@ -122,13 +141,29 @@
 void relay_server::stop_accepting()
 {
     this->callers.close();
+    if (this->peers)
+    {
+        this->peers->close();
+    }
     for (caller_session* session : this->sessions)
     {
         session->close_if_idle();
     }
 }
 
-void relay_server::take_caller(tcp::socket accepted)
+void relay_server::take_peer(tcp::socket accepted)
+{
+    io_error failed;
+    const auto sender = accepted.remote_endpoint(failed);
+    if (failed || !this->with.is_peer_host(sender.address().to_string()))
+    {
+        close_quietly(accepted);
+        return;
+    }
+    this->take_caller(std::move(accepted), request_source::peer);
+}
+
+void relay_server::take_caller(tcp::socket accepted, request_source source)
 {
     if (this->relay.open_connections >=
         most_callers(this->relay.node.descriptors))
@@ -144,12 +179,13 @@
     spawn_guarded(
         this->relay.executor,
         "caller",
-        this->serve_caller(std::move(accepted)));
+        this->serve_caller(std::move(accepted), source));
 }
 
-asio::awaitable<void> relay_server::serve_caller(tcp::socket accepted)
+asio::awaitable<void>
+relay_server::serve_caller(tcp::socket accepted, request_source source)
 {
-    caller_session session{this->relay, std::move(accepted)};
+    caller_session session{this->relay, std::move(accepted), source};
     this->sessions.insert(&session);
     const absl::Cleanup forget = [this, &session]
     {
--- a/source/relay/relay_server.hpp
+++ b/source/relay/relay_server.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <list>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -26,6 +27,8 @@
         std::function<bool()> is_ready;
         /// Text of the metrics page.
         std::function<std::string()> metrics;
+        /// Whether another instance is at the host.
+        std::function<bool(const std::string& host)> is_peer_host;
     };
 
     relay_server(asio::io_context& io, relay_context& relay, hooks with);
@@ -47,13 +50,17 @@
     void stop_accepting();
 
 private:
-    void take_caller(tcp::socket accepted);
-    asio::awaitable<void> serve_caller(tcp::socket accepted);
+    void take_caller(tcp::socket accepted, request_source source);
+    void take_peer(tcp::socket accepted);
+    asio::awaitable<void>
+    serve_caller(tcp::socket accepted, request_source source);
     asio::awaitable<void> serve_probe(tcp::socket accepted);
 
     relay_context& relay;
     hooks with;
     listener callers;
+    /// Requests that other instances pass on; none without an address.
+    std::optional<listener> peers;
     /// Readiness and metrics.
     std::list<listener> probes;
     std::unordered_set<caller_session*> sessions;
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -1,6 +1,7 @@
 #include "relay/stream_run.hpp"
 
 #include "common/log.hpp"
+#include "relay/peer_exchange.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -123,6 +124,18 @@
         co_return;
     }
     const bool any_ran = !state.ran_at.empty();
+    const bool may_run_elsewhere =
+        !any_ran || (served.matched->resumable &&
+                     served.attempts < served.matched->most_attempts);
+    if (may_run_elsewhere && !state.quarantined && !state.stopping &&
+        !state.refused)
+    {
+        const bool is_served = co_await pass_on_if_cut_off(served);
+        if (is_served)
+        {
+            co_return;
+        }
+    }
     if (!any_ran && state.refused)
     {
         advise_after_backoff(served, served.relay.pipelines.first_stages());
@@ -291,7 +304,8 @@
     retry_budget& budget = budget_of(relay, served.service);
     budget.credit(relay.time.now());
     asio::steady_timer pause{relay.executor};
-    while (!served.is_over() && !is_quarantined(state) && !is_stopping(state))
+    while (!served.is_over() && !is_quarantined(state) && !is_stopping(state) &&
+           (state.header_sent || !should_pass_on(served)))
     {
         const auto choice = choose_pipeline(state);
         const auto* routed = std::get_if<routed_pipeline>(&choice);
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -338,6 +338,7 @@
          {"status", served.last_status},
          {"attempt", served.attempts}});
     state.excluded.push_back(first);
+    served.relay.reach.on_failure(first);
     if (state.silenced)
     {
         served.relay.inquiry.report_stalled_pipeline(first);
@@ -373,7 +374,8 @@
 {
     exchange& served = state.served;
     const stage_address& first = routed.stages.front();
-    const bool is_lost = co_await is_crashed(served, first.address);
+    const bool is_lost =
+        co_await is_crashed(served, first.server, first.address);
     if (!is_lost || is_leaving(served.relay, first.server))
     {
         co_return;
@@ -399,6 +401,11 @@
 {
     relay_context& relay = state.served.relay;
     const time_point now = relay.time.now();
+    if (!state.answered)
+    {
+        // A kept connection does not tell that its server cannot be reached.
+        relay.reach.on_failure(first_stage);
+    }
     if (relay.congestion.report(first_stage, now))
     {
         log::event(
@@ -442,6 +449,7 @@
     exchange& served = state.served;
     relay_context& relay = served.relay;
     const stage_address& first = routed.stages.front();
+    served.first.server = first.server;
     auto taken = relay.pool.take(
         first.address, work_kind::idempotent, served.used_connections);
     const bool is_open = co_await ensure_open(served, served.first, taken);
@@ -461,7 +469,6 @@
     ++served.attempts;
     served.used_connections.push_back(taken.connection->number());
     served.last_server = first.server;
-    served.first.server = first.server;
     const pipeline_router::usage usage{relay.pipelines, routed.route};
     const local_demand::in_flight counted{
         relay.demand, pipeline_key(first.server.str())};
--- a/source/routing/reach_monitor.cpp
+++ b/source/routing/reach_monitor.cpp
@@ -29,7 +29,8 @@
             return now - entry.second >= this->chosen.failure_window;
         });
     this->failures[server] = now;
-    if (this->failures.size() >= this->chosen.servers_to_suspect)
+    if (this->failures.size() >= this->chosen.servers_to_suspect &&
+        now >= this->last_round + this->chosen.suspicion_pause)
     {
         this->failures.clear();
         this->rounds = 0;
--- a/source/routing/reach_monitor.hpp
+++ b/source/routing/reach_monitor.hpp
@@ -30,6 +30,9 @@
         duration failure_window = std::chrono::seconds{2};
         /// From the start of a round to that of the next one.
         duration round_interval = std::chrono::milliseconds{300};
+        /// From the last round to a new suspicion: each costs connections, also
+        /// where servers are only slow.
+        duration suspicion_pause = std::chrono::seconds{1};
         /// Rounds in a row that change the state.
         int rounds_to_change = 2;
     };
--- a/unit_tests/relay/relay_fixture.cpp
+++ b/unit_tests/relay/relay_fixture.cpp
@@ -111,9 +111,10 @@
     std::erase(callers, &socket);
 }
 
-asio::awaitable<void> serve_one(relay_context& relay, tcp::socket accepted)
+asio::awaitable<void>
+serve_one(relay_context& relay, tcp::socket accepted, request_source source)
 {
-    caller_session session{relay, std::move(accepted)};
+    caller_session session{relay, std::move(accepted), source};
     co_await session.run();
 }
 
@@ -297,7 +298,7 @@
         caller.connect(acceptor.local_endpoint());
         asio::co_spawn(
             this->io,
-            serve_one(relay, acceptor.accept()),
+            serve_one(relay, acceptor.accept(), this->source),
             [&served](const std::exception_ptr&)
             {
                 ++served;
--- a/unit_tests/relay/relay_fixture.hpp
+++ b/unit_tests/relay/relay_fixture.hpp
@@ -70,6 +70,8 @@
     silent_engines engines;
     std::shared_ptr<traffic_config> config;
     bool store_is_lost = false;
+    /// Who sends the requests.
+    request_source source = request_source::caller;
     /// Boots of servers that said that they leave.
     std::vector<std::pair<server_id, std::uint64_t>> leaving;
     /// The instance began to stop so long ago, and ends after the grace.
--- a/unit_tests/routing/reach_monitor_test.cpp
+++ b/unit_tests/routing/reach_monitor_test.cpp
@@ -106,11 +106,16 @@
     CHECK(monitor.state() == reach::sound);
 }
 
-TEST_CASE("rounds keep their distance across suspicions")
+TEST_CASE("a suspicion that was disproved is not raised again at once")
 {
     reach_monitor monitor = make_suspicious();
     CHECK(monitor.next_round() <= start);
     monitor.on_round_begun(start + 100ms);
     monitor.on_round(one_accepted);
     CHECK(monitor.next_round() == start + 400ms);
+    monitor.on_failure(engine_a, start + 200ms);
+    monitor.on_failure(engine_b, start + 1099ms);
+    CHECK(monitor.state() == reach::sound);
+    monitor.on_failure(engine_b, start + 1100ms);
+    CHECK(monitor.state() == reach::suspected);
 }
