--- a/source/relay/reach_prober.cpp
+++ b/source/relay/reach_prober.cpp
@@ -53,7 +53,7 @@
 };
 
 reach_prober::reach_prober(
-    asio::any_io_executor executor,
+    const asio::any_io_executor& executor,
     const clock& time,
     const blackboard& board,
     std::mt19937_64& random)
@@ -127,12 +127,11 @@
     return drawn;
 }
 
-asio::awaitable<void> reach_prober::connect(
-    asio::any_io_executor executor,
-    std::shared_ptr<round> part_of,
-    endpoint address)
+asio::awaitable<void>
+reach_prober::connect(std::shared_ptr<round> part_of, endpoint address)
 {
-    backend_connection probe{executor, std::move(address)};
+    backend_connection probe{
+        part_of->decided.get_executor(), std::move(address)};
     const io_error failed = co_await probe.open(connect_limit);
     --part_of->unanswered;
     part_of->any_accepted = part_of->any_accepted || !failed;
@@ -151,9 +150,7 @@
     for (const endpoint& address : servers)
     {
         spawn_guarded(
-            shared->executor,
-            "reach probe",
-            connect(shared->executor, current, address));
+            shared->executor, "reach probe", connect(current, address));
     }
     while (current->unanswered > 0 && !current->any_accepted)
     {
--- a/source/relay/reach_prober.hpp
+++ b/source/relay/reach_prober.hpp
@@ -19,7 +19,7 @@
 {
 public:
     reach_prober(
-        asio::any_io_executor executor,
+        const asio::any_io_executor& executor,
         const clock& time,
         const blackboard& board,
         std::mt19937_64& random);
@@ -47,10 +47,8 @@
     struct round;
 
     static std::vector<endpoint> draw_servers(const state& shared);
-    static asio::awaitable<void> connect(
-        asio::any_io_executor executor,
-        std::shared_ptr<round> part_of,
-        endpoint address);
+    static asio::awaitable<void>
+    connect(std::shared_ptr<round> part_of, endpoint address);
     static asio::awaitable<reach_monitor::round_outcome>
     run_round(std::shared_ptr<state> shared);
     static asio::awaitable<void> run(std::shared_ptr<state> shared);
