--- a/source/control/instance_registry.hpp
+++ b/source/control/instance_registry.hpp
@@ -31,7 +31,8 @@
 /// That is the safe error for limits divided among the instances: each share
 /// gets smaller. A store that came back from an older copy may lack instances,
 /// which register again before a lower count is believed. Used by one thread,
-/// except that `count`, `peers` and `has_peer` may be called from any thread.
+/// except that `count`, `peers`, `has_peer` and `has_host` may be called from
+/// any thread.
 class instance_registry
 {
 public:
@@ -64,6 +65,9 @@
     /// Returns true if a peer with this id is registered at the host.
     bool has_peer(const instance_id& id, std::string_view host) const;
 
+    /// Returns true if any peer is registered at the host.
+    bool has_host(std::string_view host) const;
+
 private:
     void register_self(time_point now);
     /// Replaces a registration that is malformed or was written by an earlier
