Store: a refused watch fails whatever era the refusal names

A 503, 429 or 410 that named no era, as from something before the store, was taken for the answer of a replica of an earlier era: a failing copy looked like one without changes, and a history that was gone was not listed again.

--- a/unit_tests/platform/object_store_test.cpp
+++ b/unit_tests/platform/object_store_test.cpp
@@ -245,6 +245,35 @@
     CHECK(watched.value().events.empty());
 }
 
+// Guards against failures of a copy that are taken for answers, and against a
+// view whose history is gone and that is never read anew.
+TEST_CASE("a watch that is refused fails whatever era the refusal names")
+{
+    const boot_clock time;
+    scripted_store server{
+        [](const std::string&) -> std::string
+        {
+            return "{}";
+        }};
+    const auto consistency =
+        GENERATE(read_consistency::current, read_consistency::may_lag);
+    object_store store{server.address(), time, consistency};
+    const auto error_of = [&](unsigned status, std::uint64_t era)
+    {
+        server.status = status;
+        server.era = era;
+        return store
+            .watch({kind}, make_revision(store_era{4}, 5), time.now() + 10s)
+            .error();
+    };
+    const std::uint64_t era = GENERATE(0, 3, 4);
+    CAPTURE(era);
+    CHECK(error_of(503, era) == errc::unavailable);
+    CHECK(error_of(429, era) == errc::over_budget);
+    // A replica of an earlier era knows nothing of the history of this one.
+    CHECK((era == 3 || error_of(410, era) == errc::compacted));
+}
+
 TEST_CASE("a watch ends once another call shows that the store was restored")
 {
     const boot_clock time;
--- a/unit_tests/platform/scripted_store.cpp
+++ b/unit_tests/platform/scripted_store.cpp
@@ -107,7 +107,8 @@
         {
             return;
         }
-        http::response<http::string_body> response{http::status::ok, 11};
+        http::response<http::string_body> response{
+            http::int_to_status(this->status), 11};
         const auto target = request.target();
         response.body() = this->answer({target.data(), target.size()});
         if (const auto named = this->era.load(); named != 0)
--- a/unit_tests/platform/scripted_store.hpp
+++ b/unit_tests/platform/scripted_store.hpp
@@ -42,6 +42,9 @@
     /// Named by all answers unless zero.
     std::atomic<std::uint64_t> era{0};
 
+    /// Of all answers.
+    std::atomic<unsigned> status{200};
+
 private:
     struct connection
     {
