Configuration: a version that a restored store gives out again is in force

The versions of configurations are the operators' own numbers. Operators who go on from an older copy give them out again, like the store its revisions. Such a configuration was taken for an old one and never put into force, by all instances that had read the lost one.

After a restore, a configuration that was read before stays out of force, and any other one replaces what was in force; from then on versions count from that of the copy.

--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -145,8 +145,8 @@
              {"error", decoded.error().message()}});
         return;
     }
-    const auto before = this->board.traffic.load();
-    if (before && decoded.value().version <= before->version)
+    if (!this->configs.accepts(
+            object.value, decoded.value().version, object.version))
     {
         return;
     }
@@ -248,17 +248,23 @@
 void traffic_controller::config_reader::on_events(const watch_batch& batch)
 {
     // Only the newest version in the batch is applied.
-    const auto newest = std::ranges::find_if(
-        batch.events.rbegin(),
-        batch.events.rend(),
-        [this](const store_event& event)
+    const stored_object* newest = nullptr;
+    for (const store_event& event : batch.events)
+    {
+        if (event.what != store_event::change::written ||
+            event.object.key.name != this->owner.objects.config_name)
+        {
+            continue;
+        }
+        if (newest != nullptr)
         {
-            return event.what == store_event::change::written &&
-                   event.object.key.name == this->owner.objects.config_name;
-        });
-    if (newest != batch.events.rend())
+            this->owner.configs.skip(newest->value);
+        }
+        newest = &event.object;
+    }
+    if (newest != nullptr)
     {
-        this->owner.apply_config(newest->object);
+        this->owner.apply_config(*newest);
     }
 }
 
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -3,6 +3,7 @@
 #include "blackboard/blackboard.hpp"
 #include "common/clock.hpp"
 #include "common/result.hpp"
+#include "control/config_order.hpp"
 #include "control/engine_control.hpp"
 #include "control/leaving_servers.hpp"
 #include "control/server_directory.hpp"
@@ -119,6 +120,8 @@
     const std::function<void()> on_fleet_published;
     config_reader config;
     servers_reader servers;
+    /// Used by the thread of the configuration's watch alone.
+    config_order configs;
 
     mutable absl::Mutex mutex;
     server_directory directory ABSL_GUARDED_BY(mutex);
--- a/unit_tests/control/traffic_controller_test.cpp
+++ b/unit_tests/control/traffic_controller_test.cpp
@@ -244,6 +244,68 @@
     }
 }
 
+// Guards against an old configuration that stays in force although the operator
+// wrote another one, with the number of one that a restored store lost.
+TEST_CASE_METHOD(fixture, "a restored store numbers configurations anew")
+{
+    const auto restored = [](const char* value, std::uint64_t number)
+    {
+        stored_object object = make("config", "main", value, 0);
+        object.version = make_revision(store_era{2}, number);
+        return object;
+    };
+    const auto listed = [&](const stored_object& object)
+    {
+        this->traffic.config_consumer().on_snapshot({object.version, {object}});
+        return this->board.traffic.load()->stored_at == object.version;
+    };
+    const auto written = [&](const stored_object& object)
+    {
+        this->traffic.config_consumer().on_events(
+            {object.version, {{store_event::change::written, object}}});
+        return this->board.traffic.load()->stored_at == object.version;
+    };
+    this->config("5", 9);
+    this->config("6 lost", 10);
+    this->config("7 lost", 11);
+    SECTION("after the copy was read")
+    {
+        CHECK_FALSE(listed(restored("5", 9)));
+        CHECK(written(restored("6 anew", 10)));
+        CHECK(this->board.traffic.load()->version == 6);
+        CHECK_FALSE(written(restored("5 late", 11)));
+        CHECK(written(restored("7 anew", 11)));
+    }
+    SECTION("before it was read")
+    {
+        CHECK(listed(restored("6 anew", 10)));
+        CHECK(written(restored("7 anew", 11)));
+    }
+    SECTION("and what came back with it does not replace a later one")
+    {
+        CHECK_FALSE(listed(restored("6 lost", 10)));
+        CHECK(this->board.traffic.load()->version == 7);
+        CHECK_FALSE(listed(restored("6 lost", 10)));
+        CHECK(this->board.traffic.load()->version == 7);
+    }
+    SECTION("also of those that were read together")
+    {
+        this->traffic.config_consumer().on_events(
+            {revision{13},
+             {{store_event::change::written, make("config", "main", "8", 12)},
+              {store_event::change::written,
+               make("config", "main", "9", 13)}}});
+        CHECK_FALSE(listed(restored("8", 12)));
+        CHECK(this->board.traffic.load()->version == 9);
+    }
+    SECTION("and the lost one may be written again")
+    {
+        CHECK_FALSE(listed(restored("5", 9)));
+        CHECK(written(restored("7 lost", 10)));
+        CHECK(written(restored("8", 11)));
+    }
+}
+
 TEST_CASE_METHOD(
     fixture, "servers that a restored store lacks get time to register again")
 {
