Quarantines: those that a restored store lacks are written again

A quarantine that was written in the lost span was missing in the store for good, unless another change of quarantines followed: writes were planned when an object was read, but a list without objects planned none. An instance that started then would have let the prompt crash its engines again.

Each list is followed by a plan, with the delay of writes for others. The new unit test found no object in the store before.

--- a/source/control/crash_registry.cpp
+++ b/source/control/crash_registry.cpp
@@ -450,6 +450,9 @@
         {
             this->import_object(object);
         });
+    // A store that came back from an older copy lacks what it had taken.
+    const absl::MutexLock lock{&this->mutex};
+    this->update_plans(write_for_others_after);
 }
 
 void crash_registry::on_events(const watch_batch& batch)
--- a/unit_tests/control/prompt_quarantine_test.cpp
+++ b/unit_tests/control/prompt_quarantine_test.cpp
@@ -179,6 +179,34 @@
     CHECK(this->stored() == 1);
 }
 
+TEST_CASE_METHOD(
+    fixture, "a quarantine that a restored store lacks is written again")
+{
+    this->crash_engines(3);
+    this->publish();
+    this->time.advance(10s);
+    for (const auto& instance : this->instances)
+    {
+        this->read_store(*instance);
+    }
+    this->publish();
+    REQUIRE(this->stored() == 1);
+    // The copy was taken before.
+    const stored_object lost =
+        this->objects.list({crash_registry::kind}, this->time.now() + 1s)
+            .value()
+            .objects.front();
+    REQUIRE(
+        this->objects.remove(lost.key, lost.version, this->time.now() + 1s));
+    for (const auto& instance : this->instances)
+    {
+        this->read_store(*instance);
+    }
+    this->time.advance(10s);
+    this->publish();
+    CHECK(this->stored() == 1);
+}
+
 TEST_CASE_METHOD(
     fixture, "an instance that missed a quarantine is told of it again")
 {
