Servers: a removal that a restored store lost is not undone

A server that had left, whose removal was in the lost span, came back with the copy and was sent requests again until it was removed once more.

The directory remembers removed entries for 60 s. One that the first list of a later era shows in the same boot is not used until it is written again, or for 30 s at most.

--- a/source/control/server_directory.cpp
+++ b/source/control/server_directory.cpp
@@ -27,6 +27,7 @@
 {
     this->reconnected_at = now;
     this->last_response = now;
+    this->is_restored = true;
 }
 
 void server_directory::replace_all(
@@ -35,9 +36,13 @@
     std::set<server_id> present;
     for (server_entry& entry : entries)
     {
-        present.insert(entry.id);
-        this->put(std::move(entry));
+        const server_id id = entry.id;
+        const auto used_from = this->use_time(entry, now);
+        present.insert(id);
+        this->servers.insert_or_assign(
+            id, tracked_entry{std::move(entry), std::nullopt, used_from});
     }
+    this->is_restored = false;
     for (auto& [id, server] : this->servers)
     {
         if (!present.contains(id) && !server.removal_due)
@@ -52,7 +57,7 @@
 {
     const server_id id = entry.id;
     this->servers.insert_or_assign(
-        id, tracked_entry{std::move(entry), std::nullopt});
+        id, tracked_entry{std::move(entry), std::nullopt, std::nullopt});
 }
 
 void server_directory::remove(const server_id& id, time_point now)
@@ -84,6 +89,22 @@
     return changed;
 }
 
+std::optional<time_point>
+server_directory::use_time(const server_entry& entry, time_point now) const
+{
+    const auto known = this->servers.find(entry.id);
+    if (known != this->servers.end())
+    {
+        const bool is_written_again = known->second.entry != entry;
+        return is_written_again ? std::nullopt : known->second.used_from;
+    }
+    const auto gone = this->removed.find(entry.id);
+    const bool was_removed = this->is_restored && gone != this->removed.end() &&
+                             gone->second.started_at_ms == entry.started_at_ms;
+    return was_removed ? std::optional{now + this->options.reappearance_delay}
+                       : std::nullopt;
+}
+
 void server_directory::schedule_removal(tracked_entry& server, time_point now)
 {
     server.removal_due =
@@ -100,14 +121,36 @@
 
 bool server_directory::expire(time_point now)
 {
-    const auto removed = std::erase_if(
+    std::erase_if(
+        this->removed,
+        [this, now](const auto& item)
+        {
+            return now - item.second.at > this->options.removal_memory;
+        });
+    bool is_changed = false;
+    for (auto& [id, server] : this->servers)
+    {
+        if (server.used_from && *server.used_from <= now)
+        {
+            server.used_from.reset();
+            is_changed = true;
+        }
+    }
+    const auto erased = std::erase_if(
         this->servers,
-        [now](const auto& item)
+        [this, now](const auto& item)
         {
-            const auto& until = item.second.removal_due;
-            return until && *until <= now;
+            const auto& [id, server] = item;
+            const bool is_due =
+                server.removal_due && *server.removal_due <= now;
+            if (is_due)
+            {
+                this->removed.insert_or_assign(
+                    id, removed_entry{server.entry.started_at_ms, now});
+            }
+            return is_due;
         });
-    return removed > 0;
+    return is_changed || erased > 0;
 }
 
 std::optional<time_point> server_directory::next_expiry() const
@@ -115,10 +158,12 @@
     std::optional<time_point> next;
     for (const tracked_entry& server : this->servers | std::views::values)
     {
-        if (server.removal_due)
+        for (const auto& due : {server.removal_due, server.used_from})
         {
-            next = next ? std::min(*next, *server.removal_due)
-                        : server.removal_due;
+            if (due)
+            {
+                next = next ? std::min(*next, *due) : due;
+            }
         }
     }
     return next;
@@ -127,10 +172,13 @@
 std::vector<server_entry> server_directory::entries() const
 {
     std::vector<server_entry> all;
-    std::ranges::transform(
-        this->servers | std::views::values,
-        std::back_inserter(all),
-        &tracked_entry::entry);
+    for (const tracked_entry& server : this->servers | std::views::values)
+    {
+        if (!server.used_from)
+        {
+            all.push_back(server.entry);
+        }
+    }
     return all;
 }
 
--- a/unit_tests/control/server_directory_test.cpp
+++ b/unit_tests/control/server_directory_test.cpp
@@ -68,6 +68,71 @@
     CHECK(directory.entries().empty());
 }
 
+TEST_CASE("a removal that a restored store lost is not undone")
+{
+    server_directory directory;
+    directory.on_store_response(start);
+    server_entry gone = make("gone");
+    gone.started_at_ms = 7;
+    directory.replace_all({gone, make("b")}, start);
+    directory.remove(gone.id, start + 1s);
+    const time_point back = start + 4s;
+    const std::vector used{server_id{"b"}};
+    const std::vector both{server_id{"b"}, gone.id};
+    SECTION("by the copy")
+    {
+        directory.on_store_restored(back);
+        directory.replace_all({gone, make("b")}, back);
+        CHECK(ids(directory) == used);
+        directory.replace_all({gone, make("b")}, back + 1s);
+        CHECK(ids(directory) == used);
+        SECTION("until the entry is written again")
+        {
+            directory.put(gone);
+            CHECK(ids(directory) == both);
+        }
+        SECTION("until a list shows that it was")
+        {
+            gone.started_at_ms = 8;
+            directory.replace_all({gone, make("b")}, back + 2s);
+            CHECK(ids(directory) == both);
+        }
+        SECTION("until it had time to be removed again")
+        {
+            CHECK(directory.next_expiry() == back + 30s);
+            CHECK_FALSE(directory.expire(back + 29s));
+            CHECK(directory.expire(back + 30s));
+            CHECK(ids(directory) == both);
+        }
+        SECTION("and may be made again")
+        {
+            directory.remove(gone.id, back + 5s);
+            CHECK_FALSE(directory.expire(back + 31s));
+            CHECK(ids(directory) == used);
+        }
+    }
+    SECTION("but another boot is used")
+    {
+        gone.started_at_ms = 8;
+        directory.on_store_restored(back);
+        directory.replace_all({gone, make("b")}, back);
+        CHECK(ids(directory) == both);
+    }
+    SECTION("but a list of the same era is believed")
+    {
+        directory.replace_all({gone, make("b")}, back);
+        CHECK(ids(directory) == both);
+    }
+    SECTION("but a copy that is older than any is believed")
+    {
+        const time_point late = start + 62s;
+        directory.expire(late);
+        directory.on_store_restored(late);
+        directory.replace_all({gone, make("b")}, late);
+        CHECK(ids(directory) == both);
+    }
+}
+
 TEST_CASE("the state reported by an engine replaces the listed state")
 {
     server_directory directory;
