--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -248,23 +248,17 @@
 void traffic_controller::config_reader::on_events(const watch_batch& batch)
 {
     // Only the newest version in the batch is applied.
-    const stored_object* newest = nullptr;
-    for (const store_event& event : batch.events)
-    {
-        if (event.what != store_event::change::written ||
-            event.object.key.name != this->owner.objects.config_name)
-        {
-            continue;
-        }
-        if (newest != nullptr)
+    const auto newest = std::ranges::find_if(
+        batch.events.rbegin(),
+        batch.events.rend(),
+        [this](const store_event& event)
         {
-            this->owner.configs.skip(newest->value);
-        }
-        newest = &event.object;
-    }
-    if (newest != nullptr)
+            return event.what == store_event::change::written &&
+                   event.object.key.name == this->owner.objects.config_name;
+        });
+    if (newest != batch.events.rend())
     {
-        this->owner.apply_config(*newest);
+        this->owner.apply_config(newest->object);
     }
 }
 
