Limits of callers: those in force, and none before the first configuration

Callers whose connection had been idle while the limits were raised got 413 or 431 for a request that the new limits allow: the limits were read when the connection became idle, up to IdleTimeoutMs before the request. On an instance that had just started they were the built-in ones (1 MiB, 16 KiB), before and after its first configuration came. Callers do not come back after 413 or 431.

The limits are those in force when a request begins, and without a configuration a long request is answered 503 (not_configured) as any other.

--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -87,17 +87,23 @@
     return fingerprint{stable_hash(served.request.body(), hash)};
 }
 
-own_answer rejection_of(const io_error& error)
+own_answer rejection_of(const io_error& error, bool has_config)
 {
-    if (error == http::error::header_limit)
+    if (error != http::error::header_limit && error != http::error::body_limit)
     {
-        return own_answer::header_too_large;
+        return own_answer::bad_request;
     }
-    if (error == http::error::body_limit)
+    if (!has_config)
     {
-        return own_answer::body_too_large;
+        return own_answer::not_configured;
     }
-    return own_answer::bad_request;
+    return error == http::error::header_limit ? own_answer::header_too_large
+                                              : own_answer::body_too_large;
+}
+
+caller_limits limits_of(const traffic_config* config)
+{
+    return config == nullptr ? caller_limits{} : config->limits;
 }
 
 /// Errors of the connection, as opposed to what was read from it.
@@ -197,16 +203,11 @@
 asio::awaitable<caller_session::read_end>
 caller_session::read_request(exchange& next)
 {
-    const auto config = this->relay.board.traffic.load();
-    const caller_limits limits = config ? config->limits : caller_limits{};
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(
-        std::min(limits.header.value(), most_header_bytes)));
-    parser.body_limit(limits.body.value());
-    const auto now = this->relay.time.now();
     if (this->caller.buffer.size() == 0)
     {
-        this->patience.set(now + limits.idle_time);
+        const auto before = this->relay.board.traffic.load();
+        this->patience.set(
+            this->relay.time.now() + limits_of(before.get()).idle_time);
         const auto [error] = co_await this->caller.socket.async_wait(
             tcp::socket::wait_read, as_result);
         if (error)
@@ -215,6 +216,13 @@
         }
         this->is_idle = false;
     }
+    // Those in force now, which may have changed while the connection was idle.
+    const auto config = this->relay.board.traffic.load();
+    const caller_limits limits = limits_of(config.get());
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(
+        std::min(limits.header.value(), most_header_bytes)));
+    parser.body_limit(limits.body.value());
     this->patience.set(this->relay.time.now() + limits.header_time);
     auto [error, bytes] = co_await http::async_read_header(
         this->caller.socket, this->caller.buffer, parser, as_result);
@@ -252,7 +260,10 @@
         }
         this->relay.metrics.count(request_event::malformed_request);
         co_await this->reject(
-            next, parser.get(), rejection_of(error), error.message());
+            next,
+            parser.get(),
+            rejection_of(error, config != nullptr),
+            error.message());
         co_return read_end::rejected;
     }
     next.must_close = !parser.keep_alive();
--- /dev/null
+++ b/unit_tests/relay/own_refusal_test.cpp
@@ -0,0 +1,80 @@
+#include "relay/relay_fixture.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <memory>
+#include <string>
+
+using namespace fireflysail;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using numbered = std::size_t;
+
+std::string post(const std::string& more_fields, std::size_t size)
+{
+    return fmt::format(
+        "POST /once/x HTTP/1.1\r\nHost: shop.example\r\n"
+        "X-Fireflysail-Attempt-Id: 9c42\r\nAuthorization: Bearer key\r\n"
+        "{}Content-Length: {}\r\n\r\n{}",
+        more_fields,
+        size,
+        std::string(size, 'x'));
+}
+
+/// A field that makes a header of more than `size` bytes.
+std::string long_field(std::size_t size)
+{
+    return "X-Long: " + std::string(size, 'x') + "\r\n";
+}
+
+} // namespace
+
+// The limits were those in force when the connection was last idle.
+TEST_CASE("limits that were raised while a connection was idle are in force")
+{
+    relay_fixture relay;
+    relay.config->limits.header = byte_count{1000};
+    relay.config->limits.body = byte_count{1000};
+    auto raised = std::make_shared<traffic_config>(*relay.config);
+    raised->version = 2;
+    raised->limits.header = byte_count{8000};
+    raised->limits.body = byte_count{8000};
+    relay.add_desk(
+        "d1",
+        [](numbered, const http_request&)
+        {
+            return whole_answer(200, "done");
+        });
+    relay.idle_time = 20ms;
+    relay.after_idle_time = [&]
+    {
+        relay.board.traffic.publish(raised);
+    };
+    const auto request =
+        GENERATE(post("", 4000), post(long_field(4000), 4), post("", 4));
+    const auto answers = relay.ask({request, request});
+    REQUIRE(answers.size() == 2);
+    CHECK(answers[0].status == 200);
+    CHECK(answers[1].status == 200);
+}
+
+// Callers do not come back after 413 or 431.
+TEST_CASE("without a configuration no request is refused as too large")
+{
+    relay_fixture relay;
+    relay.config = nullptr;
+    const auto request = GENERATE(
+        post("", 4),
+        post("", 3'000'000),
+        post(long_field(20'000), 4),
+        post(long_field(70'000), 4));
+    const auto answers = relay.ask({request});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].status == 503);
+    CHECK(answers[0].body == "not_configured\n");
+    CHECK(answers[0].header.count("Retry-After") == 1);
+}
--- a/unit_tests/relay/relay_fixture.cpp
+++ b/unit_tests/relay/relay_fixture.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -93,6 +94,7 @@
 asio::awaitable<void> ask_all(
     tcp::socket socket,
     std::vector<std::string> requests,
+    std::function<asio::awaitable<void>()> before_request,
     std::vector<received_answer>& answers,
     std::vector<tcp::socket*>& callers)
 {
@@ -100,6 +102,7 @@
     beast::flat_buffer buffer;
     for (const std::string& request : requests)
     {
+        co_await before_request();
         auto answer = co_await ask_once(socket, buffer, request);
         const bool goes_on = answer.whole;
         answers.push_back(std::move(answer));
@@ -304,7 +307,15 @@
             });
         asio::co_spawn(
             this->io,
-            ask_all(std::move(caller), requests, answers, this->callers),
+            ask_all(
+                std::move(caller),
+                requests,
+                [this]
+                {
+                    return this->stay_idle();
+                },
+                answers,
+                this->callers),
             asio::detached);
     }
     while (served < connections.size())
@@ -317,6 +328,16 @@
     return answers;
 }
 
+asio::awaitable<void> relay_fixture::stay_idle()
+{
+    if (this->idle_time > duration::zero())
+    {
+        asio::steady_timer timer{this->io, this->idle_time};
+        co_await timer.async_wait(as_result);
+        this->after_idle_time();
+    }
+}
+
 void relay_fixture::leave()
 {
     for (tcp::socket* const caller : this->callers)
--- a/unit_tests/relay/relay_fixture.hpp
+++ b/unit_tests/relay/relay_fixture.hpp
@@ -75,6 +75,11 @@
     /// The instance began to stop so long ago, and ends after the grace.
     std::optional<duration> stopping_for;
 
+    /// Callers wait so long before each request.
+    duration idle_time{};
+    /// Called after that, just before the request is sent.
+    std::function<void()> after_idle_time = [] {};
+
     /// Called before the requests are sent.
     std::function<void(relay_context&)> prepare = [](relay_context&) {};
     /// Called once all requests have ended.
@@ -85,6 +90,7 @@
 
 private:
     void publish();
+    asio::awaitable<void> stay_idle();
     void mark_leaving(const server_id& server);
     /// Sends the requests of each list on one connection, one after the other.
     std::vector<received_answer>
