--- a/unit_tests/platform/header_codec_test.cpp
+++ b/unit_tests/platform/header_codec_test.cpp
@@ -42,6 +42,40 @@
     CHECK(facts.key == "secret");
 }
 
+// RFC 9110, 11.4: one or more spaces follow the scheme, in any case. A key
+// behind several was unknown.
+TEST_CASE("a key is read behind any number of blanks")
+{
+    const std::string written = GENERATE(
+        as<std::string>{},
+        "Bearer secret",
+        "bearer secret",
+        "BEARER secret",
+        "Bearer  secret",
+        "Bearer \t secret ",
+        "Bearer\tsecret");
+    http_fields header;
+    header.set("Authorization", written);
+    CAPTURE(written);
+    CHECK(codec.read_request(header).key == "secret");
+}
+
+TEST_CASE("what is no bearer token is no key")
+{
+    const std::string written = GENERATE(
+        as<std::string>{},
+        "Bearersecret",
+        "Basic secret",
+        "secret",
+        "Bearer",
+        "Bearer ",
+        "");
+    http_fields header;
+    header.set("Authorization", written);
+    CAPTURE(written);
+    CHECK(codec.read_request(header).key.empty());
+}
+
 TEST_CASE("a part of a prompt is the same wherever it stands")
 {
     http_fields first;
