Targets in absolute form find their route

Callers that name the whole URL as the target, as those behind a proxy setting do, got 404: the URL was compared with the prefixes of paths. RFC 9112, 3.2.2 has a server accept this form, and lets its host go before the field Host.

Such a target is turned into origin form when the request has been read; the server gets the same path and query, and the host in Host.

--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -3,9 +3,9 @@
 #include "common/hash.hpp"
 #include "common/log.hpp"
 #include "common/store_era.hpp"
+#include "relay/request_target.hpp"
 
 #include <absl/cleanup/cleanup.h>
-#include <absl/strings/ascii.h>
 
 #include <algorithm>
 #include <array>
@@ -39,18 +39,6 @@
 /// Callers without a limit of their own wait as long as the route allows.
 constexpr duration longest_request = 10min;
 
-std::string lower_host(std::string_view host)
-{
-    const auto colon = host.rfind(':');
-    return absl::AsciiStrToLower(absl::string_view{
-        host.data(), colon == std::string_view::npos ? host.size() : colon});
-}
-
-std::string_view path_of(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 service_id draw_service(const route& matched, std::mt19937_64& random)
 {
     const auto& services = matched.services;
@@ -268,6 +256,7 @@
     }
     next.must_close = !parser.keep_alive();
     next.request = parser.release();
+    use_origin_form(next.request);
     next.facts = this->relay.codec.read_request(next.request);
     co_return read_end::request;
 }
@@ -297,12 +286,8 @@
     {
         return own_answer::not_configured;
     }
-    const auto host = next.request[http::field::host];
-    const auto target = next.request.target();
-    next.matched = find_route(
-        *next.config,
-        lower_host({host.data(), host.size()}),
-        path_of({target.data(), target.size()}));
+    next.matched =
+        find_route(*next.config, host_of(next.request), path_of(next.request));
     if (next.matched == nullptr)
     {
         return own_answer::no_route;
--- a/unit_tests/relay/own_refusal_test.cpp
+++ b/unit_tests/relay/own_refusal_test.cpp
@@ -78,3 +78,53 @@
     CHECK(answers[0].body == "not_configured\n");
     CHECK(answers[0].header.count("Retry-After") == 1);
 }
+
+// RFC 9112, 3.2.2: a server accepts the absolute form, whose host goes before
+// the field Host.
+TEST_CASE("a request in absolute form finds its route")
+{
+    relay_fixture relay;
+    const auto& desk = relay.add_desk(
+        "d1",
+        [](numbered, const http_request&)
+        {
+            return whole_answer(200, "done");
+        });
+    const auto [target, host] = GENERATE(table<std::string, std::string>(
+        {{"http://shop.example/safe/x?y=/z", "shop.example"},
+         {"http://SHOP.example:80/safe/x?y=/z", "shop.example:80"},
+         {"HTTP://shop.example/safe/x?y=/z", "other.example"},
+         {"https://me@shop.example/safe/x?y=/z", ""}}));
+    const auto answers = relay.ask({fmt::format(
+        "GET {} HTTP/1.1\r\nHost: {}\r\nX-Fireflysail-Attempt-Id: 9c42\r\n"
+        "Authorization: Bearer key\r\n\r\n",
+        target,
+        host)});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].status == 200);
+    REQUIRE(desk.received.size() == 1);
+    CHECK(desk.received[0].target() == "/safe/x?y=/z");
+    CHECK(desk.received[0].count("Host") == 1);
+    const auto sent = desk.received[0]["Host"];
+    CHECK(beast::iequals(sent.substr(0, 12), "shop.example"));
+}
+
+TEST_CASE("a target that only holds an address is none in absolute form")
+{
+    relay_fixture relay;
+    const auto& desk = relay.add_desk(
+        "d1",
+        [](numbered, const http_request&)
+        {
+            return whole_answer(200, "done");
+        });
+    const std::string target = GENERATE(
+        as<std::string>{},
+        "/safe/http://other.example/x",
+        "/safe/?at=http://other.example/x");
+    const auto answers = relay.ask({relay_fixture::get(target)});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].status == 200);
+    REQUIRE(desk.received.size() == 1);
+    CHECK(desk.received[0].target() == target);
+}
