--- a/scripts/disturb_platform.py
+++ b/scripts/disturb_platform.py
@@ -3,10 +3,13 @@
 callers that misbehave and servers that fail, started and stopped in series:
 scripts/disturb_platform.py [--seed N] [--seconds N] [--instances N]
 
-Judges only that no instance ends by itself, or with an error, that each is
-ready while the store answers, and that a sanitizer has nothing to say."""
+In half of the runs the store also comes back from older copies. Judges only
+that no instance ends by itself, or with an error, that each is ready while the
+store answers and has a route that is added after the faults, and that a
+sanitizer has nothing to say."""
 import argparse
 import asyncio
+import collections
 import contextlib
 import os
 import random
@@ -24,6 +27,9 @@
 # Longest waits, generous: they only end a run that hangs.
 READY_PATIENCE_S = 60
 STOP_PATIENCE_S = 60
+IN_FORCE_PATIENCE_S = 20
+COPY_EVERY_S = 0.25
+COPIES = 28
 CALLERS = 24
 SANITIZER_WORDS = ("Sanitizer", "runtime error", "invariant broken",
                    "terminate called", "Assertion")
@@ -235,6 +241,16 @@
             await asyncio.sleep(0.05)
         expect(False, f"{self.name} is not ready {when}")
 
+    async def until_in_force(self, path):
+        for number in range(int(IN_FORCE_PATIENCE_S / 0.05)):
+            self.check("at the end")
+            status, _, _ = await ask(
+                self.ports[0], path, f"{number:08x}{self.ports[0]:08x}")
+            if status not in (0, 404):
+                return
+            await asyncio.sleep(0.05)
+        expect(False, f"{self.name} does not know {path}")
+
     async def stop(self):
         self.check("before its stop")
         self.process.send_signal(signal.SIGTERM)
@@ -249,7 +265,35 @@
             self.process.kill()
 
 
-async def disturb(world, instances, draw):
+class Copies:
+    """Of the store, from the last seconds."""
+
+    def __init__(self, store):
+        self.store = store
+        self.taken = collections.deque(maxlen=COPIES)
+
+    async def run(self):
+        while True:
+            self.taken.append(
+                (asyncio.get_running_loop().time(), self.store.take_copy()))
+            await asyncio.sleep(COPY_EVERY_S)
+
+    def restore(self, age_s):
+        until = asyncio.get_running_loop().time() - age_s
+        old_enough = [copy for at, copy in self.taken if at <= until]
+        chosen = old_enough[-1] if old_enough else self.taken[0][1]
+        # Those taken since are of changes that are lost now.
+        self.taken.clear()
+        self.store.restore(chosen)
+
+
+def write_again(world, routes):
+    world.configure(routes, ["key"])
+    for server in world.servers.values():
+        server.register()
+
+
+async def disturb(world, instances, draw, copies):
     """One disturbance after the other until cancelled."""
     async def freeze():
         process = draw.choice(instances).process
@@ -280,8 +324,21 @@
         world.fault_share = draw.choice((0, 0.1, 0.3))
         world.break_share = draw.choice((0, 0.01))
 
-    ways = (freeze, reload, lose_store, silence_store, restart_server,
-            configure, fault)
+    async def restore():
+        if not copies.taken:
+            return
+        world.store.forgets_watches = draw.random() < 0.5
+        world.store.down = True
+        await asyncio.sleep(draw.uniform(0.3, 1.5))
+        copies.restore(draw.uniform(1, 6))
+        world.store.down = False
+        await asyncio.sleep(draw.uniform(0, 1))
+        write_again(world, ["/stream/"])
+
+    ways = [freeze, reload, lose_store, silence_store, restart_server,
+            configure, fault]
+    if copies:
+        ways += [restore] * 4
     while True:
         await asyncio.sleep(draw.uniform(0.05, 0.6))
         with contextlib.suppress(ProcessLookupError):
@@ -296,7 +353,7 @@
             instance.process.send_signal(signal.SIGCONT)
 
 
-async def live(world, instances, draw):
+async def live(world, instances, draw, copies):
     """One life of all instances."""
     for instance in instances:
         await instance.start()
@@ -305,7 +362,8 @@
     callers = [Caller(draw.getrandbits(32), draw.choice(instances).ports[0])
                for _ in range(CALLERS)]
     tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
-    tasks.append(asyncio.ensure_future(disturb(world, instances, draw)))
+    tasks.append(asyncio.ensure_future(
+        disturb(world, instances, draw, copies)))
     end = asyncio.get_running_loop().time() + draw.choice((1, 5, 15))
     while asyncio.get_running_loop().time() < end:
         await asyncio.sleep(0.2)
@@ -315,6 +373,10 @@
     calm(world, instances)
     for instance in instances:
         await instance.until_ready("at the end")
+    added = f"/added-{world.version}/"
+    write_again(world, ["/stream/", added])
+    await asyncio.gather(
+        *[instance.until_in_force(added) for instance in instances])
     # Stops under the load.
     await asyncio.gather(*[instance.stop() for instance in instances])
     for caller in callers:
@@ -336,6 +398,13 @@
     world = World(wanted.seed, FailingServer)
     await world.start()
     lives = served = 0
+    # A source of its own, so that runs without restores draw as before.
+    of_store = random.Random(f"store {wanted.seed}")
+    copies = Copies(world.store) if of_store.random() < 0.5 else None
+    taker = None
+    if copies:
+        world.store.copy_lag_s = of_store.choice((0.0, 0.8, 3.0))
+        taker = asyncio.ensure_future(copies.run())
     with tempfile.TemporaryDirectory() as folder:
         instances = [Instance(f"n{number}", "ab"[number % 2], folder, world)
                      for number in range(wanted.instances)]
@@ -343,14 +412,17 @@
         end = loop.time() + wanted.seconds
         try:
             while loop.time() < end:
-                served += await live(world, instances, draw)
+                served += await live(world, instances, draw, copies)
                 lives += 1
         finally:
+            if taker:
+                taker.cancel()
             for instance in instances:
                 instance.kill()
     expect(served > 0, "no request was served")
     print(f"disturb_platform: passed, seed {wanted.seed}, {lives} lives of "
-          f"{wanted.instances} instances, {served} requests served whole")
+          f"{wanted.instances} instances, {served} requests served whole, "
+          f"{world.store.era - 1} restores")
 
 
 asyncio.run(main())
--- a/scripts/platform_world.py
+++ b/scripts/platform_world.py
@@ -6,7 +6,6 @@
 import asyncio
 import bisect
 import contextlib
-import copy
 import json
 import os
 import random
@@ -38,7 +37,7 @@
 
 class Store:
     """Linearizable, but for calls with Serializable, which are answered from a
-    copy that is `copy_lag_s` old. It may lose what it acknowledged: see
+    copy that is `copy_lag_s` old, also after it lost what it acknowledged: see
     `restore`."""
 
     def __init__(self):
@@ -55,21 +54,30 @@
         self.changed = asyncio.Event()
         self.lists = {}
         self.silent = False
+        # (end, era, events) of the eras before.
+        self.past = []
+        # A watch that waits while the store comes back is closed, or never
+        # told of anything.
+        self.forgets_watches = False
 
     def take_copy(self):
-        return copy.deepcopy((self.revision, self.objects, self.events))
+        """Objects and events are replaced, never changed."""
+        return (self.revision,
+                {kind: dict(known) for kind, known in self.objects.items()},
+                list(self.events))
 
     def restore(self, taken):
-        """Comes back from the copy: what was written since is gone, and its
-        revisions are given out again."""
-        self.revision, self.objects, self.events = copy.deepcopy(taken)
+        """Comes back from the copy, which serves once: what was written since
+        is gone, and its revisions are given out again."""
+        self.past.append((time.monotonic(), self.era, self.events))
+        self.revision, self.objects, self.events = taken
         self.lists.clear()
         self.era += 1
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def answer(self, writer, status, body=b""):
-        answer(writer, status, body, f"Store-Era: {self.era}\r\n")
+    def answer(self, writer, status, body=b"", era=None):
+        answer(writer, status, body, f"Store-Era: {era or self.era}\r\n")
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -117,19 +125,11 @@
         known = self.objects.get(kind, {})
         lag_s = self.copy_lag_s if asked.get("Serializable") == "1" else 0.0
         if method == "GET" and "Watch" in asked:
-            after, era = int(asked["Watch"]), self.era
-            if after > self.revision:
-                self.answer(writer, 410, b"{}")
-                return
-            seen, events = await self.changes(
-                kind, after, int(asked["WaitMs"]) / 1000, lag_s)
-            if self.down or self.era != era:
-                writer.close()
-                return
-            self.answer(writer, 200, json.dumps(
-                {"events": events, "AsOf": seen}).encode())
+            await self.watch(writer, kind, int(asked["Watch"]),
+                             int(asked["WaitMs"]) / 1000, lag_s)
         elif method == "GET" and len(parts) == 1:
-            self.answer(writer, 200, self.list(kind, lag_s))
+            body = self.list(kind, lag_s)
+            self.answer(writer, 200, body, self.shown(lag_s)[0])
         elif method == "GET":
             found = known.get(parts[1])
             self.answer(writer, 200 if found else 404,
@@ -139,39 +139,56 @@
         else:
             self.write(writer, method, kind, known, json.loads(body))
 
-    def seen(self, lag_s):
-        """The revision that an answer shows."""
+    async def watch(self, writer, kind, after, wait_s, lag_s):
+        era = self.shown(lag_s)[0]
+        if after > self.revision:
+            self.answer(writer, 410, b"{}", era)
+            return
+        end = time.monotonic() + wait_s
+        seen, events = await self.changes(kind, after, end, lag_s)
+        if self.down or self.shown(lag_s)[0] != era:
+            if self.forgets_watches:
+                await asyncio.sleep(max(0, end - time.monotonic()))
+            writer.close()
+            return
+        self.answer(writer, 200, json.dumps(
+            {"events": events, "AsOf": seen}).encode(), era)
+
+    def shown(self, lag_s):
+        """The era, the revision and the events that an answer shows."""
         if lag_s == 0:
-            return self.revision
+            return self.era, self.revision, self.events
         until = time.monotonic() - lag_s
-        return max((revision for at, revision, _, _ in self.events
-                    if at <= until), default=10)
+        era, events = next(((era, events) for end, era, events in self.past
+                            if until < end), (self.era, self.events))
+        return era, max((revision for at, revision, _, _ in events
+                         if at <= until), default=10), events
 
     def list(self, kind, lag_s):
-        seen = self.seen(lag_s)
-        if self.lists.get(kind, (0, b""))[0] != seen:
+        era, seen, events = self.shown(lag_s)
+        if self.lists.get(kind, (0, b""))[0] != (era, seen):
             items = {}
-            for _, revision, of, event in self.events:
+            for _, revision, of, event in events:
                 if of == kind and revision <= seen:
                     name = event["Object"]["Metadata"]["Name"]
                     items.pop(name, None)
                     if not event["Deleted"]:
                         items[name] = event["Object"]
-            self.lists[kind] = (seen, json.dumps(
+            self.lists[kind] = ((era, seen), json.dumps(
                 {"Items": list(items.values()), "HasMore": False,
                  "AsOf": seen}).encode())
         return self.lists[kind][1]
 
-    async def changes(self, kind, after, wait_s, lag_s):
-        end = time.monotonic() + wait_s
+    async def changes(self, kind, after, end, lag_s):
+        before = self.shown(lag_s)[0]
         while True:
-            seen = self.seen(lag_s)
+            era, seen, known = self.shown(lag_s)
             first = bisect.bisect_right(
-                self.events, after, key=lambda event: event[1])
-            events = [event for _, revision, of, event in self.events[first:]
+                known, after, key=lambda event: event[1])
+            events = [event for _, revision, of, event in known[first:]
                       if of == kind and revision <= seen]
             left = end - time.monotonic()
-            if events or self.down or left <= 0:
+            if events or self.down or era != before or left <= 0:
                 return seen, events
             # A store that goes down or a copy that catches up tells nobody.
             with contextlib.suppress(asyncio.TimeoutError):
--- a/scripts/start_conditions.py
+++ b/scripts/start_conditions.py
@@ -4,7 +4,6 @@
 import socket
 import time
 
-from platform_world import answer
 from start_world import send_signal
 
 CONDITIONS = {}
@@ -102,7 +101,8 @@
     """The store is disturbed in the first seconds."""
 
     async def before(self, run):
-        run.world.store.gate = self.gate
+        self.store = run.world.store
+        self.store.gate = self.gate
 
     async def gate(self, writer, request):
         """As Store.gate."""
@@ -153,7 +153,7 @@
     what = "the store answers 503 in the first seconds"
 
     async def gate(self, writer, request):
-        answer(writer, 503)
+        self.store.answer(writer, 503)
         await writer.drain()
 
 
@@ -234,7 +234,7 @@
             self.calls += 1
         if self.calls <= 12:
             return True
-        answer(writer, 429)
+        self.store.answer(writer, 429)
         await writer.drain()
         return None
 
--- a/scripts/start_noise.py
+++ b/scripts/start_noise.py
@@ -139,7 +139,8 @@
            "objects of other shapes, all the time"
 
     async def before(self, run):
-        run.world.store.gate = self.gate
+        self.store = run.world.store
+        self.store.gate = self.gate
         self.random = run.random
 
     async def gate(self, writer, request):
@@ -150,7 +151,9 @@
             writer.transport.abort()
             return False
         status = self.random.choice([410, 409, 503, 429, 404, 200, 200])
-        answer(writer, status, self.random.choice([
+        # Also as from something before the store, which knows no era.
+        say = self.random.choice((self.store.answer, answer))
+        say(writer, status, self.random.choice([
             b"", b"{}", b"null", b'{"Items":null,"AsOf":-1}',
             b'{"Items":[{"Metadata":null}],"AsOf":"x","HasMore":1}',
             b'{"events":[{"Object":null,"Deleted":true}],"AsOf":1e300}',
