Registry: an instance that has not counted yet registers again as well

An instance whose registration was lost before its first count had no list to compare with: it took the list that lacked it and never registered again, so that the others did not know it.

Until the first count the era of the registration is compared. The new unit test found the instance missing before.

--- a/source/control/instance_registry.cpp
+++ b/source/control/instance_registry.cpp
@@ -115,6 +115,10 @@
     {
         log_failure("register", written.error());
     }
+    if (written)
+    {
+        this->registered_in = era_of(written.value());
+    }
     this->next_count =
         now + (this->registered ? first_count_delay : retry_delay);
 }
@@ -147,7 +151,9 @@
             this->update_registration(object, now);
         }
     }
-    if (!lists_self && this->counted_in && listed_in > *this->counted_in)
+    const auto known_in =
+        this->counted_in ? this->counted_in : this->registered_in;
+    if (!lists_self && known_in && listed_in > *known_in)
     {
         this->register_self(now);
         return;
--- a/source/control/instance_registry.hpp
+++ b/source/control/instance_registry.hpp
@@ -79,6 +79,7 @@
     const clock& time;
     time_point next_count{};
     bool registered = false;
+    std::optional<store_era> registered_in;
     /// Of the latest list that was used.
     std::optional<store_era> counted_in;
     /// Since when lists of a later era have shown fewer instances.
--- a/unit_tests/control/instance_registry_test.cpp
+++ b/unit_tests/control/instance_registry_test.cpp
@@ -138,6 +138,18 @@
 public:
     using store_decorator::store_decorator;
 
+    result<revision> create(
+        const object_key& key,
+        const std::string& value,
+        time_point deadline) override
+    {
+        const auto written =
+            this->store_decorator::create(key, value, deadline);
+        return written ? result<revision>{make_revision(
+                             this->era, written.value().value())}
+                       : written;
+    }
+
     result<store_snapshot>
     list(const std::vector<std::string>& kinds, time_point deadline) override
     {
@@ -188,6 +200,27 @@
     CHECK(*first.peers() == std::vector{b});
 }
 
+TEST_CASE("an instance that has not counted yet registers again as well")
+{
+    manual_clock time;
+    store_model model{time};
+    restored_store objects{model};
+    instance_registry starting{
+        {instance_id{"a"}, {"10.1.0.1", 7340}}, objects, objects, time};
+    starting.step();
+    const object_key lost{instance_registry::kind, "a"};
+    const auto written = model.get(lost, time.now() + 1s);
+    REQUIRE(written);
+    REQUIRE(model.remove(lost, written.value().version, time.now() + 1s));
+    objects.era = store_era{2};
+    time.advance(3s);
+    starting.step();
+    CHECK(model.get(lost, time.now() + 1s));
+    time.advance(3s);
+    starting.step();
+    CHECK(starting.count() == 1);
+}
+
 TEST_CASE("an instance that does not register again is forgotten")
 {
     manual_clock time;
