Servers: an earlier boot does not come back with a restored store

A server that had started again in the lost span came back with the address and the layers of the boot before, until it registered once more.

The first list of a later era replaces no entry of a later boot.

--- a/source/control/server_directory.cpp
+++ b/source/control/server_directory.cpp
@@ -37,8 +37,12 @@
     for (server_entry& entry : entries)
     {
         const server_id id = entry.id;
-        const auto used_from = this->use_time(entry, now);
         present.insert(id);
+        if (this->is_restored && this->has_later_boot(entry))
+        {
+            continue;
+        }
+        const auto used_from = this->use_time(entry, now);
         this->servers.insert_or_assign(
             id, tracked_entry{std::move(entry), std::nullopt, used_from});
     }
@@ -89,6 +93,13 @@
     return changed;
 }
 
+bool server_directory::has_later_boot(const server_entry& entry) const
+{
+    const auto known = this->servers.find(entry.id);
+    return known != this->servers.end() &&
+           known->second.entry.started_at_ms > entry.started_at_ms;
+}
+
 std::optional<time_point>
 server_directory::use_time(const server_entry& entry, time_point now) const
 {
--- a/source/control/server_directory.hpp
+++ b/source/control/server_directory.hpp
@@ -82,6 +82,7 @@
         time_point at;
     };
 
+    bool has_later_boot(const server_entry& entry) const;
     /// When to use an entry of a list; none for at once.
     std::optional<time_point>
     use_time(const server_entry& entry, time_point now) const;
--- a/unit_tests/control/server_directory_test.cpp
+++ b/unit_tests/control/server_directory_test.cpp
@@ -133,6 +133,30 @@
     }
 }
 
+TEST_CASE("an earlier boot does not come back with a restored store")
+{
+    server_directory directory;
+    server_entry before = make("a");
+    before.started_at_ms = 7;
+    server_entry after = make("a");
+    after.started_at_ms = 8;
+    directory.replace_all({after}, start);
+    const time_point back = start + 4s;
+    directory.on_store_restored(back);
+    directory.replace_all({before}, back);
+    CHECK(directory.entries() == std::vector{after});
+    SECTION("until it is written again")
+    {
+        directory.put(before);
+        CHECK(directory.entries() == std::vector{before});
+    }
+    SECTION("until a later list still shows it")
+    {
+        directory.replace_all({before}, back + 1s);
+        CHECK(directory.entries() == std::vector{before});
+    }
+}
+
 TEST_CASE("the state reported by an engine replaces the listed state")
 {
     server_directory directory;
