--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -145,8 +145,8 @@
              {"error", decoded.error().message()}});
         return;
     }
-    const auto before = this->board.traffic.load();
-    if (before && decoded.value().version <= before->version)
+    if (!this->configs.accepts(
+            object.value, decoded.value().version, object.version))
     {
         return;
     }
--- a/source/main/relay_peers.cpp
+++ b/source/main/relay_peers.cpp
@@ -199,11 +199,12 @@
 
 void relay_process::on_reach_change()
 {
-    if (!this->relay.reach.is_cut_off())
+    this->is_cut_off = this->relay.reach.is_cut_off();
+    if (!this->is_cut_off)
     {
         this->inquiry.forget_own_failures();
-        this->duty.wake();
     }
+    this->duty.wake();
     this->share_reach();
 }
 
--- a/unit_tests/control/traffic_controller_test.cpp
+++ b/unit_tests/control/traffic_controller_test.cpp
@@ -244,6 +244,57 @@
     }
 }
 
+// Guards against an old configuration that stays in force although the operator
+// wrote another one, with the number of one that a restored store lost.
+TEST_CASE_METHOD(fixture, "a restored store numbers configurations anew")
+{
+    const auto restored = [](const char* value, std::uint64_t number)
+    {
+        stored_object object = make("config", "main", value, 0);
+        object.version = make_revision(store_era{2}, number);
+        return object;
+    };
+    const auto listed = [&](const stored_object& object)
+    {
+        this->traffic.config_consumer().on_snapshot({object.version, {object}});
+        return this->board.traffic.load()->stored_at == object.version;
+    };
+    const auto written = [&](const stored_object& object)
+    {
+        this->traffic.config_consumer().on_events(
+            {object.version, {{store_event::change::written, object}}});
+        return this->board.traffic.load()->stored_at == object.version;
+    };
+    this->config("5", 9);
+    this->config("6 lost", 10);
+    SECTION("after the copy was read")
+    {
+        CHECK_FALSE(listed(restored("5", 9)));
+        CHECK(written(restored("6 anew", 10)));
+        CHECK_FALSE(written(restored("6 late", 11)));
+        CHECK(written(restored("7", 12)));
+    }
+    SECTION("before it was read")
+    {
+        CHECK(listed(restored("6 anew", 10)));
+        CHECK(written(restored("7", 11)));
+    }
+    SECTION("and no lower one comes into force")
+    {
+        // Not read before, as by an instance that was started since.
+        CHECK_FALSE(listed(restored("4", 8)));
+        CHECK_FALSE(written(restored("5 again", 9)));
+        CHECK(this->board.traffic.load()->version == 6);
+    }
+    SECTION("and the lost one may be written again")
+    {
+        CHECK_FALSE(listed(restored("5", 9)));
+        CHECK_FALSE(written(restored("6 lost", 10)));
+        CHECK(this->board.traffic.load()->version == 6);
+        CHECK(written(restored("7", 11)));
+    }
+}
+
 TEST_CASE_METHOD(
     fixture, "servers that a restored store lacks get time to register again")
 {
