Refusals: 503 for unknown keys and paths while the store is lost

Callers with a new key got 401 from an instance that had lost the store, and those of a new route 404, though the instance knew that it could not read changes. They do not come back after either, while another instance would have served them.

While the store is lost such a request is answered 503 (stale_configuration) with Retry-After. The route's and key's state in force still decides what runs. Refusals before a service was drawn no longer count as demand.

New unit test own_refusal_test: 6 of 15 checks failed before, all hold; test_relay passes (117 cases).

--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -288,9 +288,15 @@
     }
     next.matched =
         find_route(*next.config, host_of(next.request), path_of(next.request));
+    // A change that cannot be read may have added the route or the key.
+    const auto unless_stale = [this](own_answer why)
+    {
+        return this->relay.store_is_lost ? own_answer::stale_configuration
+                                         : why;
+    };
     if (next.matched == nullptr)
     {
-        return own_answer::no_route;
+        return unless_stale(own_answer::no_route);
     }
     if (next.config->has_workspaces && next.matched->needs_key)
     {
@@ -298,7 +304,7 @@
         if (holder == next.config->keys.end())
         {
             this->relay.metrics.count(request_event::unauthenticated);
-            return own_answer::unknown_key;
+            return unless_stale(own_answer::unknown_key);
         }
         next.workspace = holder->second.workspace;
         next.rank = holder->second.rank;
@@ -447,7 +453,7 @@
     }
     const bool refused =
         served.last_status == refused_status && !served.own_reason.empty();
-    if (refused && served.matched != nullptr)
+    if (refused && !served.service.empty())
     {
         this->relay.demand.on_refusal(served.service, served.urgency(), now);
     }
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -53,6 +53,9 @@
 /// Advice while the instance reads its first configuration.
 constexpr duration retry_after_start = 500ms;
 
+/// Advice while the instance cannot read changes, as others may.
+constexpr duration retry_after_stale = 500ms;
+
 constexpr std::array<std::string_view, 9> connection_fields{
     "Connection",
     "Keep-Alive",
@@ -79,6 +82,7 @@
     case own_answer::unknown_key:
         return 401;
     case own_answer::not_configured:
+    case own_answer::stale_configuration:
     case own_answer::no_backend_server:
     case own_answer::overloaded:
     case own_answer::quarantined:
@@ -99,6 +103,8 @@
     {
     case own_answer::not_configured:
         return retry_after_start;
+    case own_answer::stale_configuration:
+        return retry_after_stale;
     case own_answer::no_backend_server:
         return retry_after_outage;
     case own_answer::overloaded:
@@ -246,6 +252,8 @@
         return "unknown_key";
     case own_answer::not_configured:
         return "not_configured";
+    case own_answer::stale_configuration:
+        return "stale_configuration";
     case own_answer::no_backend_server:
         return "no_backend_server";
     case own_answer::overloaded:
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -25,6 +25,8 @@
     unknown_key,
     /// No configuration is known yet.
     not_configured,
+    /// Its route or key is not known, and changes cannot be read now.
+    stale_configuration,
     /// No backend server can run it now.
     no_backend_server,
     /// Every backend server that was asked had no room.
--- a/unit_tests/relay/own_refusal_test.cpp
+++ b/unit_tests/relay/own_refusal_test.cpp
@@ -128,3 +128,50 @@
     REQUIRE(desk.received.size() == 1);
     CHECK(desk.received[0].target() == target);
 }
+
+namespace
+{
+
+std::string with_key(const std::string& key)
+{
+    auto request = relay_fixture::get("/safe/");
+    const std::string known = "Bearer key\r\n";
+    request.replace(
+        request.find(known), known.size(), "Bearer " + key + "\r\n");
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("unknown keys and paths are refused as wrong")
+{
+    relay_fixture relay;
+    const auto answers =
+        relay.ask({with_key("new-key"), relay_fixture::get("/new/")});
+    REQUIRE(answers.size() == 2);
+    CHECK(answers[0].status == 401);
+    CHECK(answers[1].status == 404);
+}
+
+// Callers do not come back after 401 or 404, although a change that the
+// instance could not read may have added the key or the route.
+TEST_CASE("without the store unknown keys and paths are not refused as wrong")
+{
+    relay_fixture relay;
+    relay.store_is_lost = true;
+    const auto& desk = relay.add_desk(
+        "d1",
+        [](numbered, const http_request&)
+        {
+            return whole_answer(200, "done");
+        });
+    const auto request =
+        GENERATE(with_key("new-key"), relay_fixture::get("/new/"));
+    const auto answers = relay.ask({request, relay_fixture::get("/safe/")});
+    REQUIRE(answers.size() == 2);
+    CHECK(answers[0].status == 503);
+    CHECK(answers[0].body == "stale_configuration\n");
+    CHECK(answers[0].header.count("Retry-After") == 1);
+    CHECK(answers[1].status == 200);
+    CHECK(desk.received.size() == 1);
+}
