Relay: a peer that may be cut off hands requests back at once

All instances of the first cut found it 0.9 to 1.2 s after it began. Of the second, which leaves the channels there are, two did after 0.7 s and two after 3.7 s.

In the first 2.6 s of the first cut, requests were passed on to instances that had lost the servers as well and did not know yet; these held them for 1.5 s before they refused (8 requests). A request of another instance is now refused as soon as its instance is in doubt and has no pipeline for it.

--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -288,9 +288,13 @@
     if (next.is_from_peer)
     {
         ++this->relay.taken_for_peers;
-        if (const auto refusal = this->refuse_peer())
+        if (this->relay.draining)
         {
-            return refusal;
+            return own_answer::stopping;
+        }
+        if (should_hand_back(next))
+        {
+            return own_answer::no_backend_server;
         }
     }
     next.config = this->relay.board.traffic.load();
@@ -341,17 +345,6 @@
     return std::nullopt;
 }
 
-std::optional<own_answer> caller_session::refuse_peer() const
-{
-    if (this->relay.draining)
-    {
-        return own_answer::stopping;
-    }
-    return this->relay.reach.is_cut_off()
-               ? std::optional{own_answer::no_backend_server}
-               : std::nullopt;
-}
-
 bool caller_session::is_held_back(exchange& next)
 {
     crash_registry& crashes = this->relay.crashes;
--- a/source/relay/caller_session.hpp
+++ b/source/relay/caller_session.hpp
@@ -57,9 +57,6 @@
     asio::awaitable<void> serve_here(exchange& next);
     std::optional<own_answer> admit(exchange& next);
 
-    /// Why a request of another instance is better served by a third one.
-    std::optional<own_answer> refuse_peer() const;
-
     /// Whether its content crashes backend servers.
     bool is_held_back(exchange& next);
     void log_end(const exchange& served) const;
--- a/source/relay/peer_exchange.cpp
+++ b/source/relay/peer_exchange.cpp
@@ -248,6 +248,12 @@
            relay.peers.has_choice(relay.time.now());
 }
 
+bool should_hand_back(const exchange& served)
+{
+    const reach_prober& reach = served.relay.reach;
+    return served.is_from_peer && (reach.is_cut_off() || reach.is_in_doubt());
+}
+
 asio::awaitable<bool> serve_at_peer(exchange& served)
 {
     relay_context& relay = served.relay;
--- a/source/relay/peer_exchange.hpp
+++ b/source/relay/peer_exchange.hpp
@@ -10,6 +10,10 @@
 /// instances are never sent on.
 bool should_pass_on(const exchange& served);
 
+/// Whether a request of another instance is better served by a third one, as
+/// this one reaches no backend server, or does not know whether it does.
+bool should_hand_back(const exchange& served);
+
 /// Sends the request to another instance as the caller sent it, and forwards
 /// the answer. Asks a further one only if the one before has run nothing or the
 /// request may run again. Returns false if no instance could be asked: nothing
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -336,6 +336,10 @@
         }
         if (routed == nullptr)
         {
+            if (!state.header_sent && should_hand_back(served))
+            {
+                break;
+            }
             if (!waits_for_pipeline(state))
             {
                 served.advise_return();
--- a/unit_tests/relay/peer_exchange_test.cpp
+++ b/unit_tests/relay/peer_exchange_test.cpp
@@ -277,6 +277,24 @@
     CHECK(this->received_by_peers() == 0);
 }
 
+TEST_CASE_METHOD(
+    cut_off_fixture,
+    "a request of another instance does not wait for the verdict on the links")
+{
+    const std::string path = GENERATE("/safe/", "/stream/");
+    this->add_lost_servers(path);
+    this->source = request_source::peer;
+    bool is_in_doubt = false;
+    this->inspect = [&](relay_context& relay)
+    {
+        is_in_doubt = relay.reach.is_in_doubt();
+    };
+    const auto answers = this->ask({get(path)});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().status == 503);
+    CHECK(is_in_doubt);
+}
+
 TEST_CASE_METHOD(
     cut_off_fixture, "a failure of some servers sends nothing to peers")
 {
