Leases: an answer without an era begins no new one

An answer that names no era, as from something before the store, made the holder another incarnation that gave up its lease. Only a later era does that now. Found by reading; the unit tests of leases pass.

--- a/source/control/leader_lease.cpp
+++ b/source/control/leader_lease.cpp
@@ -209,7 +209,8 @@
     {
         return false;
     }
-    const auto before = std::exchange(this->era, era_of(version));
+    const auto before = this->era;
+    this->era = std::max(before.value_or(store_era{}), era_of(version));
     if (!before || before == this->era)
     {
         return false;
