--- a/scripts/platform_world.py
+++ b/scripts/platform_world.py
@@ -35,6 +35,20 @@
     writer.write(head.encode() + body)
 
 
+class RewritingWriter:
+    """Changes the bodies of whole answers; ports must keep their length."""
+
+    def __init__(self, writer, rewrite):
+        self.writer = writer
+        self.rewrite = rewrite
+
+    def write(self, data):
+        self.writer.write(self.rewrite(data))
+
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
+
+
 class Store:
     """Linearizable, but for calls with Serializable, which are answered from a
     copy that is `copy_lag_s` old, also after it lost what it acknowledged: see
@@ -97,6 +111,19 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def serve_view(self, servers):
+        """As `serve`, for an instance that is told the second address of each
+        server."""
+        def rewrite(body):
+            for server in servers.values():
+                body = body.replace(b"127.0.0.1:%d\"" % server.port,
+                                    b"127.0.0.1:%d\"" % server.second_port)
+            return body
+
+        async def serve(reader, writer):
+            await self.serve(reader, RewritingWriter(writer, rewrite))
+        return serve
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -233,6 +260,9 @@
         self.born = 1000
         self.listener = None
         self.writers = set()
+        self.second = None
+        self.second_port = None
+        self.second_writers = set()
         self.ran = []
         # Health checks and reports take this long.
         self.answer_s = 0.0
@@ -245,6 +275,24 @@
         self.port = self.listener.sockets[0].getsockname()[1]
         self.register()
 
+    async def open_second(self, port=0):
+        """A second address, which may be cut off by itself."""
+        self.second = await asyncio.start_server(
+            self.serve_second, "127.0.0.1", port)
+        self.second_port = self.second.sockets[0].getsockname()[1]
+
+    async def serve_second(self, reader, writer):
+        self.second_writers.add(writer)
+        await self.serve(reader, writer)
+        self.second_writers.discard(writer)
+
+    def cut_second(self, is_reset):
+        """New connections are refused; open ones are reset or live on."""
+        self.second.close()
+        if is_reset:
+            for writer in list(self.second_writers):
+                writer.transport.abort()
+
     def register(self):
         entry = {"Service": "model" if self.accelerator else "desk",
                  "Address": f"127.0.0.1:{self.port}", "Zone": self.zone,
