--- a/source/relay/reach_prober.cpp
+++ b/source/relay/reach_prober.cpp
@@ -15,9 +15,7 @@
 
 using namespace std::chrono_literals;
 
-/// Servers of one round. A fault that leaves a fifth of the servers is taken
-/// for a cut by fewer than one pair of rounds in five, and the next good ones
-/// end that.
+/// Servers that are asked in one round.
 constexpr std::size_t round_size = 4;
 
 /// A server in the same region accepts well within this time.
