Tests: servers that cannot be reached keep their ports

Seen twice in 31 runs of the tests of peers beside other processes: the port of a stopped server was taken by another process, a round of connections was accepted there, and the instance was not found to be cut off (reach_suspicion_ended with any_accepted: true).

The ports stay bound without a listener, so that connections are refused. The checks are the same.

--- a/unit_tests/relay/peer_exchange_test.cpp
+++ b/unit_tests/relay/peer_exchange_test.cpp
@@ -34,17 +34,27 @@
     {
         for (const std::string id : {"lost-1", "lost-2"})
         {
-            this->add(
-                    path,
-                    id,
-                    [](numbered, const http_request&)
-                    {
-                        return whole_answer(200, "unexpected");
-                    })
-                .stop();
+            this->refuse_connections(this->add(
+                path,
+                id,
+                [](numbered, const http_request&)
+                {
+                    return whole_answer(200, "unexpected");
+                }));
         }
     }
 
+    /// Stops the server and keeps its port, which another process could get.
+    void refuse_connections(scripted_server& server)
+    {
+        const auto port = static_cast<unsigned short>(server.address().port);
+        server.stop();
+        const tcp::endpoint address{asio::ip::make_address("127.0.0.1"), port};
+        auto& kept = this->kept_ports.emplace_back(this->io);
+        kept.open(address.protocol());
+        kept.bind(address);
+    }
+
     scripted_server& add_peer(scripted_server::script script)
     {
         this->peers.push_back(
@@ -67,6 +77,7 @@
     }
 
     std::vector<std::unique_ptr<scripted_server>> peers;
+    std::vector<tcp::socket> kept_ports;
     std::vector<peer_instance> known;
     bool is_cut_off = false;
     std::uint64_t passed_on = 0;
@@ -255,8 +266,8 @@
 TEST_CASE_METHOD(cut_off_fixture, "a peer that has stopped is passed over")
 {
     this->add_lost_servers("/once/");
-    this->add_peer(serve_whole).stop();
-    this->add_peer(serve_whole).stop();
+    this->refuse_connections(this->add_peer(serve_whole));
+    this->refuse_connections(this->add_peer(serve_whole));
     this->add_peer(serve_whole);
     const auto answers = this->ask({get("/once/")});
     REQUIRE(answers.size() == 1);
