--- a/source/relay/peer_exchange.cpp
+++ b/source/relay/peer_exchange.cpp
@@ -20,6 +20,22 @@
 /// Of those, the ones that may run it.
 constexpr int most_runs = 2;
 
+/// What the stop of this instance leaves time for.
+work_kind kind_of_work(const route& matched)
+{
+    switch (matched.kind)
+    {
+    case route_kind::idempotent:
+        return work_kind::idempotent;
+    case route_kind::non_idempotent:
+        return work_kind::non_idempotent;
+    case route_kind::stream:
+        return matched.resumable ? work_kind::stream
+                                 : work_kind::non_idempotent;
+    }
+    return work_kind::non_idempotent;
+}
+
 /// An instance accepts connections as long as it runs.
 constexpr duration connect_limit = 300ms;
 
@@ -36,6 +52,9 @@
     unsent,
     /// Sent, without an answer that could be passed to the caller.
     broken,
+    /// The instance states that it may have run. It made all attempts that the
+    /// route allows.
+    failed,
 };
 
 /// Whether the request may run once more.
@@ -86,7 +105,7 @@
     served.last_status = connection.header().result_int();
     if (may_have_run(status))
     {
-        co_return peer_end::broken;
+        co_return peer_end::failed;
     }
     served.come_back_after = facts.backoff;
     // Read to its end so that the connection may be kept.
@@ -244,8 +263,11 @@
 bool should_pass_on(const exchange& served)
 {
     const relay_context& relay = served.relay;
+    const time_point now = relay.time.now();
     return !served.is_from_peer && relay.reach.is_cut_off() &&
-           relay.peers.has_choice(relay.time.now());
+           relay.peers.has_choice(now) &&
+           relay.stop.may_send(
+               kind_of_work(*served.matched), served.deadline, now);
 }
 
 bool should_hand_back(const exchange& served)
@@ -261,7 +283,11 @@
     // Also those that a run of this instance came before.
     int runs = static_cast<int>(served.attempts);
     bool refused = false;
-    bool goes_on = true;
+    // A run of this instance makes the next one a repeat.
+    bool goes_on =
+        runs == 0 ||
+        (served.attempts < served.matched->most_attempts &&
+         budget_of(relay, served.service).try_take(relay.time.now()));
     while (goes_on && !served.is_over() && asked.size() < most_peers)
     {
         const auto peer =
@@ -278,11 +304,17 @@
             co_return true;
         }
         refused = refused || end == peer_end::refused;
-        if (end == peer_end::broken)
+        if (end == peer_end::broken && !served.is_over())
+        {
+            // The peer may be gone; or it does not know this instance yet.
+            relay.peers.on_unreachable(peer->id, relay.time.now());
+        }
+        if (end == peer_end::broken || end == peer_end::failed)
         {
             ++runs;
             goes_on =
-                may_run_again(*served.matched) && runs < most_runs &&
+                end == peer_end::broken && may_run_again(*served.matched) &&
+                runs < most_runs &&
                 budget_of(relay, served.service).try_take(relay.time.now());
         }
         log::event(
--- a/source/relay/reach_prober.cpp
+++ b/source/relay/reach_prober.cpp
@@ -3,6 +3,8 @@
 #include "common/log.hpp"
 #include "relay/backend_connection.hpp"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -21,6 +23,18 @@
 /// A server in the same region accepts well within this time.
 constexpr duration connect_limit = 400ms;
 
+/// Whether the error tells that the server, or the way to it, does not answer.
+/// Others are of this instance, which may have no descriptor left.
+bool is_unreachable(const io_error& failed)
+{
+    namespace error = asio::error;
+    return failed == error::connection_refused ||
+           failed == error::connection_reset ||
+           failed == error::connection_aborted || failed == error::timed_out ||
+           failed == error::host_unreachable ||
+           failed == error::network_unreachable;
+}
+
 bool is_unsettled(const reach_monitor& monitor)
 {
     return monitor.state() != reach_monitor::reach::sound;
@@ -132,7 +146,7 @@
         part_of->decided.get_executor(), std::move(address)};
     const io_error failed = co_await probe.open(connect_limit);
     --part_of->unanswered;
-    part_of->any_accepted = part_of->any_accepted || !failed;
+    part_of->any_accepted = part_of->any_accepted || !is_unreachable(failed);
     if (part_of->any_accepted || part_of->unanswered == 0)
     {
         part_of->decided.cancel();
@@ -160,6 +174,10 @@
 
 asio::awaitable<void> reach_prober::run(std::shared_ptr<state> shared)
 {
+    const absl::Cleanup ended = [&shared]
+    {
+        shared->is_running = false;
+    };
     while (!shared->is_stopped && is_unsettled(shared->monitor))
     {
         const duration until_due =
@@ -198,7 +216,6 @@
             shared->on_change();
         }
     }
-    shared->is_running = false;
 }
 
 } // namespace fireflysail
