Control: lower versions of a restored store replace those it lost

Callers of instances that had read several versions of the configuration which a restored store then lost were served by the lost ones, until the operator's numbers, going on from the copy, were as high again.

Cause: a version below the one in force was refused in any era, as it may be one of the copy or one that is written again in order. Now the texts that were read are remembered. One that was not, of a later era and with a version of which all texts have been read, is new, and replaces the lost one.

Evidence: the new section "from the lowest of several that it lost" fails without the rule ("7 anew" is not in force) and holds with it; one that is written again in order still changes nothing.

--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -128,7 +128,8 @@
     return this->has_servers;
 }
 
-void traffic_controller::apply_config(const stored_object& object)
+void traffic_controller::apply_config(
+    const stored_object& object, config_reading how)
 {
     if (object.key.name != this->objects.config_name)
     {
@@ -146,7 +147,7 @@
         return;
     }
     if (!this->configs.accepts(
-            object.value, decoded.value().version, object.version))
+            object.value, decoded.value().version, object.version, how))
     {
         return;
     }
@@ -241,24 +242,30 @@
 {
     for (const stored_object& object : snapshot.objects)
     {
-        this->owner.apply_config(object);
+        this->owner.apply_config(object, config_reading::listed);
     }
 }
 
 void traffic_controller::config_reader::on_events(const watch_batch& batch)
 {
     // Only the newest version in the batch is applied.
-    const auto newest = std::ranges::find_if(
-        batch.events.rbegin(),
-        batch.events.rend(),
-        [this](const store_event& event)
+    const stored_object* newest = nullptr;
+    for (const store_event& event : batch.events)
+    {
+        if (event.what != store_event::change::written ||
+            event.object.key.name != this->owner.objects.config_name)
+        {
+            continue;
+        }
+        if (newest != nullptr)
         {
-            return event.what == store_event::change::written &&
-                   event.object.key.name == this->owner.objects.config_name;
-        });
-    if (newest != batch.events.rend())
+            this->owner.configs.skip(newest->value);
+        }
+        newest = &event.object;
+    }
+    if (newest != nullptr)
     {
-        this->owner.apply_config(newest->object);
+        this->owner.apply_config(*newest, config_reading::changed);
     }
 }
 
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -105,7 +105,7 @@
         traffic_controller& owner;
     };
 
-    void apply_config(const stored_object& object);
+    void apply_config(const stored_object& object, config_reading how);
     /// The servers come from a later era than those known.
     void on_restored(time_point now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::optional<server_entry> decode_entry(const stored_object& object) const;
--- a/unit_tests/control/traffic_controller_test.cpp
+++ b/unit_tests/control/traffic_controller_test.cpp
@@ -286,6 +286,38 @@
         CHECK_FALSE(written(restored("5 again", 9)));
         CHECK(this->board.traffic.load()->version == 6);
     }
+    SECTION("from the lowest of several that it lost")
+    {
+        const auto lost = [&](const char* value, int number)
+        {
+            return written(make("config", "main", value, number));
+        };
+        CHECK(lost("7 lost", 11));
+        CHECK(lost("8 lost", 12));
+        CHECK_FALSE(listed(restored("6 lost", 10)));
+        SECTION("by other ones")
+        {
+            CHECK(written(restored("7 anew", 11)));
+            CHECK_FALSE(written(restored("7 lost", 12)));
+            CHECK(written(restored("8 anew", 13)));
+        }
+        SECTION("by the lost ones")
+        {
+            CHECK_FALSE(written(restored("7 lost", 11)));
+            CHECK_FALSE(written(restored("8 lost", 12)));
+            CHECK(this->board.traffic.load()->version == 8);
+        }
+        SECTION("by one that replaces lost ones at once")
+        {
+            const auto lost_again = restored("7 lost", 11);
+            const auto anew = restored("8 anew", 12);
+            this->traffic.config_consumer().on_events(
+                {anew.version,
+                 {{store_event::change::written, lost_again},
+                  {store_event::change::written, anew}}});
+            CHECK(this->board.traffic.load()->stored_at == anew.version);
+        }
+    }
     SECTION("and the lost one may be written again")
     {
         CHECK_FALSE(listed(restored("5", 9)));
