Logs: where a configuration came from, and why one was not used

An engineer with one instance's logs could not tell which copy a configuration was read from, in which era, nor that a version that was read stayed out of force: nothing was logged then. watch_ended, store_lost and store_regained named revisions with the era in their upper bits, which no other line shows.

config_in_force and config_rejected name era, source and what they replace or leave in force; config_not_newer is new; the other lines name revision and era apart.

--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -11,6 +11,23 @@
 namespace fireflysail
 {
 
+namespace
+{
+
+std::string_view name_of(config_reading how)
+{
+    switch (how)
+    {
+    case config_reading::listed:
+        return "list";
+    case config_reading::changed:
+        return "watch";
+    }
+    return "unknown";
+}
+
+} // namespace
+
 traffic_controller::traffic_controller(
     blackboard& board,
     traffic_objects objects,
@@ -25,6 +42,12 @@
 {
 }
 
+void traffic_controller::set_config_source(
+    std::function<std::string_view()> source)
+{
+    this->config_source = std::move(source);
+}
+
 store_consumer& traffic_controller::config_consumer()
 {
     return this->config;
@@ -135,6 +158,7 @@
     {
         return;
     }
+    const std::uint64_t replaced = this->configs.version();
     auto decoded = this->objects.decode_config(object.value);
     if (!decoded)
     {
@@ -143,12 +167,29 @@
             log::channel::control,
             "config_rejected",
             {{"revision", change_number_of(object.version)},
+             {"era", era_of(object.version).value()},
+             {"from", this->config_source()},
+             {"read_by", name_of(how)},
+             {"in_force", replaced},
              {"error", decoded.error().message()}});
         return;
     }
-    if (!this->configs.accepts(
-            object.value, decoded.value().version, object.version, how))
+    const std::uint64_t version = decoded.value().version;
+    if (!this->configs.accepts(object.value, version, object.version, how))
     {
+        if (version != replaced)
+        {
+            log::event(
+                log::level::info,
+                log::channel::control,
+                "config_not_newer",
+                {{"version", version},
+                 {"revision", change_number_of(object.version)},
+                 {"era", era_of(object.version).value()},
+                 {"from", this->config_source()},
+                 {"read_by", name_of(how)},
+                 {"in_force", replaced}});
+        }
         return;
     }
     auto next = std::make_shared<traffic_config>(std::move(decoded).value());
@@ -160,6 +201,10 @@
         "config_in_force",
         {{"version", next->version},
          {"revision", change_number_of(object.version)},
+         {"era", era_of(object.version).value()},
+         {"from", this->config_source()},
+         {"read_by", name_of(how)},
+         {"replaces", replaced},
          {"hosts", next->routes.size()},
          {"keys", next->keys.size()}});
     this->board.traffic.publish(std::move(next));
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -45,6 +45,10 @@
         const clock& time,
         std::function<void()> on_fleet_published);
 
+    /// `source` tells what gives the configuration that is read, for the log.
+    /// Called on the watch's thread. Set before the watch starts.
+    void set_config_source(std::function<std::string_view()> source);
+
     /// Consumer for the watch of the configuration.
     store_consumer& config_consumer();
 
@@ -118,6 +122,10 @@
     const traffic_objects objects;
     const clock& time;
     const std::function<void()> on_fleet_published;
+    std::function<std::string_view()> config_source = []
+    {
+        return std::string_view{"store"};
+    };
     config_reader config;
     servers_reader servers;
     /// Used by the thread of the configuration's watch alone.
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -2,6 +2,7 @@
 
 #include "common/guarded.hpp"
 #include "common/log.hpp"
+#include "common/store_era.hpp"
 
 #include <fmt/format.h>
 
@@ -255,6 +256,11 @@
         });
     this->open_notices();
     this->wait_for_signal();
+    this->traffic.set_config_source(
+        [this]() -> std::string_view
+        {
+            return this->config_view.reads_copy() ? "copy" : "store";
+        });
     this->config_view.start();
     this->servers_view.start();
     this->crashes_watch.start();
@@ -356,13 +362,15 @@
             continue;
         }
         ++this->watches_ended;
+        const revision position = view->status().position;
         log::event(
             log::level::warning,
             log::channel::store,
             "watch_ended",
             {{"reason", *reason},
              {"kind", view == &this->config_view ? "config" : "servers"},
-             {"revision", view->status().position.value()}});
+             {"revision", change_number_of(position)},
+             {"era", era_of(position).value()}});
     }
 }
 
@@ -385,7 +393,8 @@
         lost ? log::level::warning : log::level::info,
         log::channel::store,
         lost ? "store_lost" : "store_regained",
-        {{"revision", status.position.value()},
+        {{"revision", change_number_of(status.position)},
+         {"era", era_of(status.position).value()},
          {"failures", status.counts.failures}});
 }
 
--- a/source/main/store_view.cpp
+++ b/source/main/store_view.cpp
@@ -140,6 +140,11 @@
     return this->progress.position();
 }
 
+bool store_view::reads_copy() const
+{
+    return !this->source.store_read_at().has_value();
+}
+
 void store_view::on_answer(const view_position& reached)
 {
     this->freshness.on_view(reached);
--- a/source/main/store_view.hpp
+++ b/source/main/store_view.hpp
@@ -71,6 +71,9 @@
     watch_hub_status short_watch_status() const;
     view_position position() const;
 
+    /// Whether the last answer was the copy's. For the watch's thread.
+    bool reads_copy() const;
+
     view_freshness freshness;
 
 private:
