Relay: no refusal as wrong from a view that may be old

Callers got 401, 404, 413 or 431, after which none comes back, from an instance whose view lacked the route, key or limit: as long as the loss of the store was not noticed (a silent connection, a copy that lags), these followed from the old view.

Cause: refusals asked whether the store is lost, which is set when a read fails, not how old the view is. view_freshness now tells as of when the view is known to be complete; above ConfigApplyMs the answer is 503 stale_configuration, also for the two limits. The lines of the log for own answers name the version and both ages, so that a reader sees on which belief a refusal rests.

With a view of 2 s or less unknown keys and paths are refused as before.

--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -83,6 +83,17 @@
 
 } // namespace
 
+std::function<std::optional<duration>()>
+relay_process::age_of(const view_freshness& view) const
+{
+    return [this, &view]() -> std::optional<duration>
+    {
+        const auto complete_at = view.complete_at();
+        return complete_at ? std::optional{this->time.now() - *complete_at}
+                           : std::nullopt;
+    };
+}
+
 relay_process::relay_process(
     node_settings settings, platform_adapter adapter, time_point started_at)
     : settings{std::move(settings)}
@@ -261,6 +272,8 @@
         {
             return this->config_view.reads_copy() ? "copy" : "store";
         });
+    this->relay.config_age = age_of(this->config_view.freshness);
+    this->relay.servers_age = age_of(this->servers_view.freshness);
     this->config_view.start();
     this->servers_view.start();
     this->crashes_watch.start();
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -145,6 +145,8 @@
     watch_hub_status store_status() const;
 
     store_view::stores stores_of_views() const;
+    std::function<std::optional<duration>()>
+    age_of(const view_freshness& view) const;
 
     /// Ends the watches that are of no use any more. Runs on the traffic
     /// thread: calls to the store hold up that of the duties.
--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -95,6 +95,41 @@
     return config == nullptr ? caller_limits{} : config->limits;
 }
 
+/// Whether the configuration may lack a change that is due to be in force.
+bool may_miss_changes(const relay_context& relay)
+{
+    const auto age = relay.config_age();
+    return relay.store_is_lost || !age ||
+           *age > relay.node.bounds.config_in_force;
+}
+
+/// Callers do not come back after what a newer configuration may allow.
+own_answer unless_stale(const relay_context& relay, own_answer why)
+{
+    switch (why)
+    {
+    case own_answer::header_too_large:
+    case own_answer::body_too_large:
+    case own_answer::no_route:
+    case own_answer::unknown_key:
+        return may_miss_changes(relay) ? own_answer::stale_configuration : why;
+    default:
+        return why;
+    }
+}
+
+/// For the log; negative if there is none.
+double to_log(std::optional<duration> time)
+{
+    return time ? std::chrono::duration<double, std::milli>{*time}.count()
+                : -1.0;
+}
+
+std::uint64_t version_of(const traffic_config* config)
+{
+    return config == nullptr ? 0 : config->version;
+}
+
 /// Errors of the connection, as opposed to what was read from it.
 bool is_disconnect(const io_error& error)
 {
@@ -209,8 +244,8 @@
         this->is_idle = false;
     }
     // Those in force now, which may have changed while the connection was idle.
-    const auto config = this->relay.board.traffic.load();
-    const caller_limits limits = limits_of(config.get());
+    next.config = this->relay.board.traffic.load();
+    const caller_limits limits = limits_of(next.config.get());
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(
         std::min(limits.header.value(), most_header_bytes)));
@@ -254,7 +289,8 @@
         co_await this->reject(
             next,
             parser.get(),
-            rejection_of(error, config != nullptr),
+            unless_stale(
+                this->relay, rejection_of(error, next.config != nullptr)),
             error.message());
         co_return read_end::rejected;
     }
@@ -279,7 +315,9 @@
         "request_rejected",
         {{"request", next.facts.attempt.str()},
          {"reason", name_of(why)},
-         {"error", error}});
+         {"error", error},
+         {"config_version", version_of(next.config.get())},
+         {"config_view_age_ms", to_log(this->relay.config_age())}});
     co_await answer_ourselves(next, why);
 }
 
@@ -304,15 +342,9 @@
     }
     next.matched =
         find_route(*next.config, host_of(next.request), path_of(next.request));
-    // A change that cannot be read may have added the route or the key.
-    const auto unless_stale = [this](own_answer why)
-    {
-        return this->relay.store_is_lost ? own_answer::stale_configuration
-                                         : why;
-    };
     if (next.matched == nullptr)
     {
-        return unless_stale(own_answer::no_route);
+        return unless_stale(this->relay, own_answer::no_route);
     }
     if (next.config->has_workspaces && next.matched->needs_key)
     {
@@ -320,7 +352,7 @@
         if (holder == next.config->keys.end())
         {
             this->relay.metrics.count(request_event::unauthenticated);
-            return unless_stale(own_answer::unknown_key);
+            return unless_stale(this->relay, own_answer::unknown_key);
         }
         next.workspace = holder->second.workspace;
         next.rank = holder->second.rank;
@@ -429,12 +461,9 @@
 void caller_session::log_end(const exchange& served) const
 {
     const auto now = this->relay.time.now();
-    const auto milliseconds = [](duration time)
-    {
-        return std::chrono::duration<double, std::milli>{time}.count();
-    };
     const bool good = served.last_status >= 200 && served.last_status < 300 &&
                       !served.must_close;
+    const bool is_own = !served.own_reason.empty();
     log::event(
         good ? log::level::info : log::level::warning,
         log::channel::api,
@@ -449,22 +478,22 @@
          {"from_peer", served.is_from_peer},
          {"caller_left", this->caller.has_left()},
          {"expired", served.expired},
-         {"first_event_ms",
-          served.first_event_after ? milliseconds(*served.first_event_after)
-                                   : -1.0},
-         {"total_ms", milliseconds(now - served.received_at)},
+         {"first_event_ms", to_log(served.first_event_after)},
+         {"total_ms", to_log(now - served.received_at)},
          {"reason", served.own_reason},
          {"events", served.events},
-         {"longest_gap_ms", milliseconds(served.longest_gap)},
-         {"held_ms", milliseconds(served.held)},
-         {"retry_after_ms",
-          served.come_back_after ? milliseconds(*served.come_back_after)
-                                 : -1.0},
-         {"config_version", served.config ? served.config->version : 0},
+         {"longest_gap_ms", to_log(served.longest_gap)},
+         {"held_ms", to_log(served.held)},
+         {"retry_after_ms", to_log(served.come_back_after)},
+         {"config_version", version_of(served.config.get())},
          {"config_age_ms",
-          served.config ? milliseconds(now - served.config->read_at) : -1.0},
+          served.config ? to_log(now - served.config->read_at) : -1.0},
+         {"config_view_age_ms",
+          to_log(is_own ? this->relay.config_age() : std::nullopt)},
          {"fleet_revision",
-          change_number_of(this->relay.board.fleet.load()->version)}});
+          change_number_of(this->relay.board.fleet.load()->version)},
+         {"servers_view_age_ms",
+          to_log(is_own ? this->relay.servers_age() : std::nullopt)}});
     if (served.first_event_after)
     {
         this->relay.metrics.observe(
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -32,6 +32,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
 
 namespace fireflysail
@@ -88,6 +89,16 @@
         [](const server_id&, std::uint64_t) {};
     /// The store has not answered for a while.
     bool store_is_lost = false;
+    /// Time since the view of the configuration, or of the backend servers, was
+    /// known to be complete; none if it never was.
+    std::function<std::optional<duration>()> config_age = []
+    {
+        return duration::zero();
+    };
+    std::function<std::optional<duration>()> servers_age = []
+    {
+        return duration::zero();
+    };
     /// Instances that share the retry budgets, as far as known.
     std::size_t instances = unknown_instances;
     /// Requests being served.
--- a/source/store/view_freshness.cpp
+++ b/source/store/view_freshness.cpp
@@ -44,12 +44,14 @@
         this->newest_reported =
             std::min(this->newest_reported, this->own->newest_change);
     }
+    this->completed_at = this->ahead.empty() ? this->own_confirmation : began;
 }
 
 void view_freshness::on_view(const view_position& view)
 {
     const absl::MutexLock lock{&this->mutex};
     this->own = view;
+    this->update_completeness();
 }
 
 void view_freshness::on_report(
@@ -62,20 +64,22 @@
         this->peer_confirmation =
             std::max(this->peer_confirmation.value_or(now - *age), now - *age);
     }
-    if (of_peer.newest_change <= this->newest_reported ||
-        of_peer == this->refuted)
+    if (of_peer.newest_change > this->newest_reported &&
+        of_peer != this->refuted)
     {
-        return;
-    }
-    this->newest_reported = of_peer.newest_change;
-    if (this->ahead.size() == max_reported)
-    {
-        // The last one stands for all newer ones, with its own age.
-        this->ahead.back().view = of_peer;
-        this->ahead.back().told_at = now;
-        return;
+        this->newest_reported = of_peer.newest_change;
+        if (this->ahead.size() == max_reported)
+        {
+            // The last one stands for all newer ones, with its own age.
+            this->ahead.back().view = of_peer;
+            this->ahead.back().told_at = now;
+        }
+        else
+        {
+            this->ahead.push_back({of_peer, now, now});
+        }
     }
-    this->ahead.push_back({of_peer, now, now});
+    this->update_completeness();
 }
 
 watch_plan view_freshness::plan(revision position)
@@ -131,6 +135,12 @@
     return this->own_confirmation;
 }
 
+std::optional<time_point> view_freshness::complete_at() const
+{
+    const absl::MutexLock lock{&this->mutex};
+    return this->completed_at;
+}
+
 bool view_freshness::confirms() const
 {
     const absl::MutexLock lock{&this->mutex};
@@ -143,6 +153,24 @@
     return this->rank < this->options.readers;
 }
 
+void view_freshness::update_completeness()
+{
+    const auto has_reached = [this](const view_position& reported)
+    {
+        return reported.newest_change <= this->own->newest_change ||
+               reported.digest == this->own->digest;
+    };
+    const bool is_complete =
+        this->own &&
+        (this->ahead.empty() || has_reached(this->ahead.back().view));
+    if (is_complete && this->peer_confirmation)
+    {
+        this->completed_at = std::max(
+            this->completed_at.value_or(*this->peer_confirmation),
+            *this->peer_confirmation);
+    }
+}
+
 bool view_freshness::is_confirmed_by_peer(time_point now) const
 {
     const auto steps = std::min(this->rank, max_takeover_steps);
--- a/source/store/view_freshness.hpp
+++ b/source/store/view_freshness.hpp
@@ -123,6 +123,10 @@
     /// When this instance last confirmed its view.
     std::optional<time_point> confirmed_at() const;
 
+    /// As of when this view is known to be complete: it was confirmed by this
+    /// instance, or by a peer whose view it had reached.
+    std::optional<time_point> complete_at() const;
+
     /// Whether this instance confirms its view by itself.
     bool confirms() const;
 
@@ -140,6 +144,9 @@
         time_point told_at;
     };
 
+    /// Takes over the confirmation of a peer if this view has reached all that
+    /// were reported.
+    void update_completeness() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool is_confirmed_by_peer(time_point now) const
         ABSL_SHARED_LOCKS_REQUIRED(mutex);
     /// Since when a reported view is ahead of that of this instance, whose
@@ -153,6 +160,7 @@
     std::size_t rank ABSL_GUARDED_BY(mutex) = 0;
     std::optional<time_point> own_confirmation ABSL_GUARDED_BY(mutex);
     std::optional<time_point> peer_confirmation ABSL_GUARDED_BY(mutex);
+    std::optional<time_point> completed_at ABSL_GUARDED_BY(mutex);
     std::optional<view_position> own ABSL_GUARDED_BY(mutex);
     revision newest_reported ABSL_GUARDED_BY(mutex);
     /// Views that are ahead, in order. This instance lags by the age of the
--- a/unit_tests/relay/own_refusal_test.cpp
+++ b/unit_tests/relay/own_refusal_test.cpp
@@ -146,6 +146,7 @@
 TEST_CASE("unknown keys and paths are refused as wrong")
 {
     relay_fixture relay;
+    relay.config_age = GENERATE(0s, 2s);
     const auto answers =
         relay.ask({with_key("new-key"), relay_fixture::get("/new/")});
     REQUIRE(answers.size() == 2);
@@ -153,6 +154,27 @@
     CHECK(answers[1].status == 404);
 }
 
+// Callers do not come back after these, although a change may be in force that
+// a silent connection, or a copy that lags, has not told of.
+TEST_CASE("a view that may be old refuses nothing as wrong")
+{
+    relay_fixture relay;
+    relay.config_age =
+        GENERATE(as<std::optional<duration>>{}, 2001ms, std::nullopt);
+    relay.config->limits.header = byte_count{1000};
+    relay.config->limits.body = byte_count{1000};
+    const auto request = GENERATE(
+        with_key("new-key"),
+        relay_fixture::get("/new/"),
+        post("", 4000),
+        post(long_field(4000), 4));
+    const auto answers = relay.ask({request});
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].status == 503);
+    CHECK(answers[0].body == "stale_configuration\n");
+    CHECK(answers[0].header.count("Retry-After") == 1);
+}
+
 // Callers do not come back after 401 or 404, although a change that the
 // instance could not read may have added the key or the route.
 TEST_CASE("without the store unknown keys and paths are not refused as wrong")
--- a/unit_tests/relay/relay_fixture.cpp
+++ b/unit_tests/relay/relay_fixture.cpp
@@ -277,6 +277,10 @@
         random,
         {}};
     relay.store_is_lost = this->store_is_lost;
+    relay.config_age = [this]
+    {
+        return this->config_age;
+    };
     relay.on_leaving =
         [this, &pipelines](const server_id& server, std::uint64_t boot)
     {
--- a/unit_tests/relay/relay_fixture.hpp
+++ b/unit_tests/relay/relay_fixture.hpp
@@ -70,6 +70,8 @@
     silent_engines engines;
     std::shared_ptr<traffic_config> config;
     bool store_is_lost = false;
+    /// Of the view of the configuration.
+    std::optional<duration> config_age = duration::zero();
     /// Who sends the requests.
     request_source source = request_source::caller;
     /// Boots of servers that said that they leave.
--- a/unit_tests/store/view_freshness_test.cpp
+++ b/unit_tests/store/view_freshness_test.cpp
@@ -306,3 +306,39 @@
     this->time.advance(this->options.store_patience);
     CHECK(this->freshness.find_defect(watch));
 }
+
+TEST_CASE_METHOD(fixture, "a view is complete as of the last confirmation")
+{
+    CHECK_FALSE(this->freshness.complete_at());
+    const time_point began = this->time.now();
+    this->freshness.on_view({revision{10}, 10});
+    this->freshness.on_confirmed(began);
+    CHECK(this->freshness.complete_at() == began);
+    this->time.advance(1s);
+    const time_point told = this->time.now();
+    SECTION("of a peer whose view it has reached")
+    {
+        this->freshness.on_report({revision{10}, 10}, 200ms);
+        CHECK(this->freshness.complete_at() == told - 200ms);
+    }
+    SECTION("of a peer whose view holds the same")
+    {
+        this->freshness.on_report({revision{12}, 10}, 0ms);
+        CHECK(this->freshness.complete_at() == told);
+    }
+    SECTION("but not of one that is ahead")
+    {
+        this->freshness.on_report({revision{11}, 11}, 0ms);
+        CHECK(this->freshness.complete_at() == began);
+        this->time.advance(100ms);
+        this->freshness.on_view({revision{11}, 11});
+        CHECK(this->freshness.complete_at() == told);
+    }
+    SECTION("or of a read that began before a peer was ahead")
+    {
+        this->freshness.on_report({revision{11}, 11}, std::nullopt);
+        this->time.advance(1s);
+        this->freshness.on_confirmed(told - 300ms);
+        CHECK(this->freshness.complete_at() == told - 300ms);
+    }
+}
