--- a/scripts/start_world.py
+++ b/scripts/start_world.py
@@ -8,6 +8,7 @@
 import socket
 import time
 
+from local_fleet import PORTS, port_range
 from platform_world import LAYERS, World
 
 PROGRAM = os.environ.get("FIREFLYSAIL_PROGRAM") or os.path.join(
@@ -124,11 +125,10 @@
 
 
 def free_port(count=1):
-    """First of ports that are free on all addresses, below the range of
-    outgoing connections."""
-    chooser = random.SystemRandom()
+    """First of ports that are free on all addresses."""
+    lowest, highest = port_range()
     while True:
-        first = chooser.randint(20000, 32000)
+        first = PORTS.randint(lowest, highest - count + 1)
         with contextlib.ExitStack() as kept, contextlib.suppress(OSError):
             for port in range(first, first + count):
                 probe = kept.enter_context(socket.socket())
