Relay: one place says how often requests of a route may run

Requests passed to another instance, plain ones and streams each worked that out from the kind of the route, and two places read and sent the rest of an answer alike.

--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -447,6 +447,35 @@
     }
 }
 
+asio::awaitable<bool>
+deliver_rest(exchange& served, backend_connection& connection)
+{
+    http_response answer;
+    answer.base() = connection.header();
+    const bool is_whole =
+        co_await read_whole_body(served.first, connection, answer.body());
+    if (is_whole)
+    {
+        co_await deliver(served, answer);
+    }
+    co_return is_whole;
+}
+
+work_kind work_of(const route& matched)
+{
+    switch (matched.kind)
+    {
+    case route_kind::idempotent:
+        return work_kind::idempotent;
+    case route_kind::non_idempotent:
+        return work_kind::non_idempotent;
+    case route_kind::stream:
+        return matched.resumable ? work_kind::stream
+                                 : work_kind::non_idempotent;
+    }
+    return work_kind::non_idempotent;
+}
+
 bool is_leaving(const relay_context& relay, const server_id& server)
 {
     const auto listed = find_server(*relay.board.fleet.load(), server);
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -155,6 +155,14 @@
 /// connection only.
 asio::awaitable<void> deliver(exchange& served, http_response& answer);
 
+/// Reads the body of the answer whose header the connection has read, and sends
+/// the answer. False if it broke off; nothing was sent then.
+asio::awaitable<bool>
+deliver_rest(exchange& served, backend_connection& connection);
+
+/// How often requests of the route may run.
+work_kind work_of(const route& matched);
+
 /// Sends an answer of our own.
 asio::awaitable<void> answer_ourselves(exchange& served, own_answer why);
 
--- a/source/relay/peer_exchange.cpp
+++ b/source/relay/peer_exchange.cpp
@@ -20,22 +20,6 @@
 /// Of those, the ones that may run it.
 constexpr int most_runs = 2;
 
-/// What the stop of this instance leaves time for.
-work_kind kind_of_work(const route& matched)
-{
-    switch (matched.kind)
-    {
-    case route_kind::idempotent:
-        return work_kind::idempotent;
-    case route_kind::non_idempotent:
-        return work_kind::non_idempotent;
-    case route_kind::stream:
-        return matched.resumable ? work_kind::stream
-                                 : work_kind::non_idempotent;
-    }
-    return work_kind::non_idempotent;
-}
-
 /// An instance accepts connections as long as it runs.
 constexpr duration connect_limit = 300ms;
 
@@ -57,21 +41,6 @@
     failed,
 };
 
-/// Whether the request may run once more.
-bool may_run_again(const route& matched)
-{
-    switch (matched.kind)
-    {
-    case route_kind::idempotent:
-        return true;
-    case route_kind::non_idempotent:
-        return false;
-    case route_kind::stream:
-        return matched.resumable;
-    }
-    return false;
-}
-
 /// Own answers of an instance promise that nothing ran, but for these.
 bool may_have_run(http::status own)
 {
@@ -195,25 +164,15 @@
     {
         co_return co_await forward_stream(served, connection);
     }
-    http_response answer;
-    answer.base() = header;
-    const bool is_whole =
-        co_await read_whole_body(served.first, connection, answer.body());
-    if (!is_whole)
-    {
-        co_return peer_end::broken;
-    }
-    co_await deliver(served, answer);
-    co_return peer_end::done;
+    const bool is_delivered = co_await deliver_rest(served, connection);
+    co_return is_delivered ? peer_end::done : peer_end::broken;
 }
 
 asio::awaitable<peer_end> ask_peer(exchange& served, const peer_instance& peer)
 {
     relay_context& relay = served.relay;
-    const work_kind work = may_run_again(*served.matched)
-                               ? work_kind::idempotent
-                               : work_kind::non_idempotent;
-    auto taken = relay.pool.take(peer.address, work, served.used_connections);
+    auto taken = relay.pool.take(
+        peer.address, work_of(*served.matched), served.used_connections);
     backend_connection& connection = *taken.connection;
     served.first.connection = &connection;
     if (!taken.is_open)
@@ -266,8 +225,7 @@
     const time_point now = relay.time.now();
     return !served.is_from_peer && relay.reach.is_cut_off() &&
            relay.peers.has_choice(now) &&
-           relay.stop.may_send(
-               kind_of_work(*served.matched), served.deadline, now);
+           relay.stop.may_send(work_of(*served.matched), served.deadline, now);
 }
 
 bool should_hand_back(const exchange& served)
@@ -283,6 +241,8 @@
     // Also those that a run of this instance came before.
     int runs = static_cast<int>(served.attempts);
     bool refused = false;
+    const bool may_run_again =
+        work_of(*served.matched) != work_kind::non_idempotent;
     // A run of this instance makes the next one a repeat.
     bool goes_on =
         runs == 0 ||
@@ -313,8 +273,7 @@
         {
             ++runs;
             goes_on =
-                end == peer_end::broken && may_run_again(*served.matched) &&
-                runs < most_runs &&
+                end == peer_end::broken && may_run_again && runs < most_runs &&
                 budget_of(relay, served.service).try_take(relay.time.now());
         }
         log::event(
--- a/source/relay/plain_exchange.cpp
+++ b/source/relay/plain_exchange.cpp
@@ -93,9 +93,7 @@
 asio::awaitable<void> serve_plain(exchange& served)
 {
     relay_context& relay = served.relay;
-    const work_kind work = served.matched->kind == route_kind::idempotent
-                               ? work_kind::idempotent
-                               : work_kind::non_idempotent;
+    const work_kind work = work_of(*served.matched);
     retry_budget& budget = budget_of(relay, served.service);
     plain_progress state;
     bool is_stopping = false;
--- a/source/relay/stream_exchange.cpp
+++ b/source/relay/stream_exchange.cpp
@@ -230,12 +230,10 @@
 bool is_stopping(stream_state& state)
 {
     const exchange& served = state.served;
-    const work_kind work = served.matched->resumable
-                               ? work_kind::stream
-                               : work_kind::non_idempotent;
-    state.stopping = state.ran_at.empty() &&
-                     !served.relay.stop.may_send(
-                         work, served.deadline, served.relay.time.now());
+    state.stopping =
+        state.ran_at.empty() &&
+        !served.relay.stop.may_send(
+            work_of(*served.matched), served.deadline, served.relay.time.now());
     return state.stopping;
 }
 
--- a/source/relay/stream_run.cpp
+++ b/source/relay/stream_run.cpp
@@ -212,16 +212,8 @@
 asio::awaitable<stream_end>
 pass_on(exchange& served, backend_connection& connection)
 {
-    http_response answer;
-    answer.base() = connection.header();
-    const bool whole =
-        co_await read_whole_body(served.first, connection, answer.body());
-    if (!whole)
-    {
-        co_return stream_end::broken;
-    }
-    co_await deliver(served, answer);
-    co_return stream_end::passed_on;
+    const bool is_delivered = co_await deliver_rest(served, connection);
+    co_return is_delivered ? stream_end::passed_on : stream_end::broken;
 }
 
 /// Reads the header of the run's answer, for as long as it may take to begin.
