--- a/source/control/server_directory.hpp
+++ b/source/control/server_directory.hpp
@@ -46,7 +46,7 @@
     /// Replaces the directory by a complete listing of the store.
     void replace_all(std::vector<server_entry> entries, time_point now);
 
-    /// The entry was written, or listed.
+    /// The entry was written.
     void put(server_entry entry);
     void remove(const server_id& id, time_point now);
 
--- a/unit_tests/control/instance_registry_test.cpp
+++ b/unit_tests/control/instance_registry_test.cpp
@@ -166,87 +166,87 @@
     store_era era{1};
 };
 
-} // namespace
-
-TEST_CASE("an instance that a restored store lacks registers again")
+/// Two instances of a store that comes back without what it held of one.
+struct restored_fleet
 {
+    void lose(const instance_id& instance)
+    {
+        const object_key lost{instance_registry::kind, instance.str()};
+        const auto written = this->model.get(lost, this->time.now() + 1s);
+        REQUIRE(written);
+        REQUIRE(this->model.remove(
+            lost, written.value().version, this->time.now() + 1s));
+        this->objects.era = store_era{2};
+    }
+
+    /// Both register, and the first counts them.
+    void start()
+    {
+        this->first.step();
+        this->second.step();
+        this->time.advance(3s);
+        this->first.step();
+        REQUIRE(this->first.count() == 2);
+    }
+
     manual_clock time;
-    store_model model{time};
-    restored_store objects{model};
+    store_model model{this->time};
+    restored_store objects{this->model};
     const peer_instance a{instance_id{"a"}, {"10.1.0.1", 7340}};
     const peer_instance b{instance_id{"b"}, {"10.1.0.2", 7340}};
-    instance_registry first{a, objects, objects, time};
-    instance_registry second{b, objects, objects, time};
-    first.step();
-    second.step();
-    time.advance(3s);
-    first.step();
-    second.step();
-    REQUIRE(first.count() == 2);
+    instance_registry first{this->a, this->objects, this->objects, this->time};
+    instance_registry second{this->b, this->objects, this->objects, this->time};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    restored_fleet, "an instance that a restored store lacks registers again")
+{
+    this->start();
+    this->second.step();
     // The copy was taken before the second one registered.
-    const object_key lost{instance_registry::kind, "b"};
-    const auto written = model.get(lost, time.now() + 1s);
-    REQUIRE(model.remove(lost, written.value().version, time.now() + 1s));
-    objects.era = store_era{2};
-    time.advance(20s);
-    first.step();
-    CHECK(first.count() == 2);
-    second.step();
-    time.advance(3s);
-    first.step();
-    second.step();
-    CHECK(first.count() == 2);
-    CHECK(second.count() == 2);
-    CHECK(*first.peers() == std::vector{b});
+    this->lose(this->b.id);
+    this->time.advance(20s);
+    this->first.step();
+    CHECK(this->first.count() == 2);
+    this->second.step();
+    this->time.advance(3s);
+    this->first.step();
+    this->second.step();
+    CHECK(this->first.count() == 2);
+    CHECK(this->second.count() == 2);
+    CHECK(*this->first.peers() == std::vector{this->b});
 }
 
-TEST_CASE("an instance that has not counted yet registers again as well")
+TEST_CASE_METHOD(
+    restored_fleet,
+    "an instance that has not counted yet registers again as well")
 {
-    manual_clock time;
-    store_model model{time};
-    restored_store objects{model};
-    instance_registry starting{
-        {instance_id{"a"}, {"10.1.0.1", 7340}}, objects, objects, time};
-    starting.step();
-    const object_key lost{instance_registry::kind, "a"};
-    const auto written = model.get(lost, time.now() + 1s);
-    REQUIRE(written);
-    REQUIRE(model.remove(lost, written.value().version, time.now() + 1s));
-    objects.era = store_era{2};
-    time.advance(3s);
-    starting.step();
-    CHECK(model.get(lost, time.now() + 1s));
-    time.advance(3s);
-    starting.step();
-    CHECK(starting.count() == 1);
+    this->first.step();
+    this->lose(this->a.id);
+    this->time.advance(3s);
+    this->first.step();
+    CHECK(
+        this->model.get({instance_registry::kind, "a"}, this->time.now() + 1s));
+    this->time.advance(3s);
+    this->first.step();
+    CHECK(this->first.count() == 1);
 }
 
-TEST_CASE("an instance that does not register again is forgotten")
+TEST_CASE_METHOD(
+    restored_fleet, "an instance that does not register again is forgotten")
 {
-    manual_clock time;
-    store_model model{time};
-    restored_store objects{model};
-    const peer_instance a{instance_id{"a"}, {"10.1.0.1", 7340}};
-    const peer_instance b{instance_id{"b"}, {"10.1.0.2", 7340}};
-    instance_registry first{a, objects, objects, time};
-    instance_registry stopped{b, objects, objects, time};
-    first.step();
-    stopped.step();
-    time.advance(3s);
-    first.step();
-    REQUIRE(first.count() == 2);
-    const object_key lost{instance_registry::kind, "b"};
-    const auto written = model.get(lost, time.now() + 1s);
-    REQUIRE(model.remove(lost, written.value().version, time.now() + 1s));
-    objects.era = store_era{2};
-    time.advance(20s);
-    first.step();
-    CHECK(first.count() == 2);
+    this->start();
+    this->lose(this->b.id);
+    this->time.advance(20s);
+    this->first.step();
+    CHECK(this->first.count() == 2);
     for (int passed = 0; passed < 20; ++passed)
     {
-        time.advance(2s);
-        first.step();
+        this->time.advance(2s);
+        this->first.step();
     }
-    CHECK(first.count() == 1);
-    CHECK(first.peers()->empty());
+    CHECK(this->first.count() == 1);
+    CHECK(this->first.peers()->empty());
 }
