Tests: a stand-in's second address may also go silent

Instances that are cut off met connections that were refused, and open ones that were closed in order or lived on. A link that drops packets is worse: nothing is answered and nothing fails.

Server.cut_second takes the way of the cut. With "hang" new connections get no answer, as the backlog of a listener that accepts none is full, and open ones neither read nor write until the cut ends; what was written meanwhile goes out then. "reset" now sends resets. A connection that was accepted just before the cut is cut too. open_second ends the cut.

--- a/scripts/platform_world.py
+++ b/scripts/platform_world.py
@@ -9,6 +9,8 @@
 import json
 import os
 import random
+import socket
+import struct
 import time
 
 LAYERS = 80
@@ -247,6 +249,55 @@
         self.answer(writer, 200, b"{}")
 
 
+class SilentableWriter:
+    """Keeps what is written while its connection is silent, and sends it
+    after that, as the retransmissions of a link that comes back would."""
+
+    def __init__(self, writer):
+        self.writer = writer
+        self.kept = None
+
+    def write(self, data):
+        if self.kept is None:
+            self.writer.write(data)
+        else:
+            self.kept.append(data)
+
+    def reset(self):
+        # Without it, a close ends the connection in order.
+        self.writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+    def silence(self):
+        self.kept = []
+        self.writer.transport.pause_reading()
+
+    def end_silence(self):
+        kept, self.kept = self.kept or [], None
+        self.writer.write(b"".join(kept))
+        self.writer.transport.resume_reading()
+
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
+
+
+def leave_unanswered(port):
+    """Sockets that keep new connections to the port from being answered: a
+    listener that accepts none, and connections that fill its backlog."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", port))
+    listener.listen(0)
+    sockets = [listener]
+    for _ in range(3):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(("127.0.0.1", port))
+        sockets.append(filler)
+    return sockets
+
+
 class Server:
     """An engine if it has an accelerator, else a server of the plain service."""
 
@@ -263,6 +314,9 @@
         self.second = None
         self.second_port = None
         self.second_writers = set()
+        # The way in which it is cut now.
+        self.second_cut = None
+        self.unanswered = []
         self.ran = []
         # Health checks and reports take this long.
         self.answer_s = 0.0
@@ -275,23 +329,41 @@
         self.port = self.listener.sockets[0].getsockname()[1]
         self.register()
 
-    async def open_second(self, port=0):
-        """A second address, which may be cut off by itself."""
+    async def open_second(self):
+        """A second address, which may be cut off by itself; ends its cut."""
+        self.second_cut = None
+        for blocked in self.unanswered:
+            blocked.close()
+        self.unanswered.clear()
         self.second = await asyncio.start_server(
-            self.serve_second, "127.0.0.1", port)
+            self.serve_second, "127.0.0.1", self.second_port or 0)
         self.second_port = self.second.sockets[0].getsockname()[1]
+        for writer in list(self.second_writers):
+            writer.end_silence()
 
     async def serve_second(self, reader, writer):
-        self.second_writers.add(writer)
-        await self.serve(reader, writer)
-        self.second_writers.discard(writer)
-
-    def cut_second(self, is_reset):
-        """New connections are refused; open ones are reset or live on."""
+        silentable = SilentableWriter(writer)
+        self.second_writers.add(silentable)
+        # A connection that was accepted just before the cut.
+        self.cut_connection(silentable)
+        await self.serve(reader, silentable)
+        self.second_writers.discard(silentable)
+
+    def cut_second(self, way):
+        """Open connections are reset ("reset"), go silent ("hang") or live on
+        ("live on"); new ones get no answer with "hang", else are refused."""
+        self.second_cut = way
         self.second.close()
-        if is_reset:
-            for writer in list(self.second_writers):
-                writer.transport.abort()
+        if way == "hang":
+            self.unanswered = leave_unanswered(self.second_port)
+        for writer in list(self.second_writers):
+            self.cut_connection(writer)
+
+    def cut_connection(self, writer):
+        if self.second_cut == "reset":
+            writer.reset()
+        elif self.second_cut == "hang":
+            writer.silence()
 
     def register(self):
         entry = {"Service": "model" if self.accelerator else "desk",
