Tests: the port of a cut-off address stays taken during the cut

A socket that is bound and does not listen holds it; connections are refused as before. The blocked listener of "hang" is that socket.

--- a/scripts/platform_world.py
+++ b/scripts/platform_world.py
@@ -282,20 +282,24 @@
         return getattr(self.writer, name)
 
 
-def leave_unanswered(port):
-    """Sockets that keep new connections to the port from being answered: a
-    listener that accepts none, and connections that fill its backlog."""
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(("127.0.0.1", port))
-    listener.listen(0)
-    sockets = [listener]
-    for _ in range(3):
-        filler = socket.socket()
+def hold_port(port):
+    """Refuses connections; without it the system may give the port to an
+    outgoing one meanwhile."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", port))
+    return holder
+
+
+def fill_backlog(holder):
+    """Further connections to the held port get no answer while the sockets
+    returned are open."""
+    holder.listen(0)
+    fillers = [socket.socket() for _ in range(3)]
+    for filler in fillers:
         filler.setblocking(False)
-        filler.connect_ex(("127.0.0.1", port))
-        sockets.append(filler)
-    return sockets
+        filler.connect_ex(holder.getsockname())
+    return fillers
 
 
 class Server:
@@ -316,7 +320,7 @@
         self.second_writers = set()
         # The way in which it is cut now.
         self.second_cut = None
-        self.unanswered = []
+        self.blocking = []
         self.ran = []
         # Health checks and reports take this long.
         self.answer_s = 0.0
@@ -332,9 +336,9 @@
     async def open_second(self):
         """A second address, which may be cut off by itself; ends its cut."""
         self.second_cut = None
-        for blocked in self.unanswered:
-            blocked.close()
-        self.unanswered.clear()
+        for blocker in self.blocking:
+            blocker.close()
+        self.blocking.clear()
         self.second = await asyncio.start_server(
             self.serve_second, "127.0.0.1", self.second_port or 0)
         self.second_port = self.second.sockets[0].getsockname()[1]
@@ -354,8 +358,9 @@
         ("live on"); new ones get no answer with "hang", else are refused."""
         self.second_cut = way
         self.second.close()
+        self.blocking = [hold_port(self.second_port)]
         if way == "hang":
-            self.unanswered = leave_unanswered(self.second_port)
+            self.blocking += fill_backlog(self.blocking[0])
         for writer in list(self.second_writers):
             self.cut_connection(writer)
 
