Tests: disturbances of the store at single instances

The stand-in store had one listener, so a silent or lost connection hit all instances or none, and the world had one plain service whose routes were fixed.

Each instance may have a listener of its own (Store.serve_for), whose connections go silent for good, are closed, or lose answers after the request was handled. A world names its plain services and their routes, and a server its service and state.

--- a/scripts/platform_world.py
+++ b/scripts/platform_world.py
@@ -49,6 +49,29 @@
         return getattr(self.writer, name)
 
 
+class Link:
+    """A writer of a connection between an instance and the store, whose
+    answers may be lost."""
+
+    def __init__(self, store, name, writer):
+        self.store = store
+        self.name = name
+        self.writer = writer
+        self.is_silent = False
+        self.serving = None
+
+    def write(self, data):
+        if not self.is_silent and self.name not in self.store.loses_answers:
+            self.writer.write(data)
+
+    def close(self):
+        if not self.is_silent:
+            self.writer.close()
+
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
+
+
 class Store:
     """Linearizable, but for calls with Serializable, which are answered from a
     copy that is `copy_lag_s` old, also after it lost what it acknowledged: see
@@ -73,6 +96,12 @@
         # A watch that waits while the store comes back is closed, or never
         # told of anything.
         self.forgets_watches = False
+        # Of the listeners of single instances, see `serve_for`.
+        self.links = set()
+        # Instances whose requests are handled but not answered.
+        self.loses_answers = set()
+        # Instances whose connections are closed.
+        self.cut_off = set()
 
     def take_copy(self):
         """Objects and events are replaced, never changed."""
@@ -124,6 +153,41 @@
             await self.serve(reader, RewritingWriter(writer, rewrite))
         return serve
 
+    def serve_for(self, name):
+        """As `serve`, for one instance, which disturbances may hit alone."""
+        async def serve(reader, writer):
+            if name in self.cut_off:
+                writer.close()
+                return
+            link = Link(self, name, writer)
+            link.serving = asyncio.ensure_future(self.serve(reader, link))
+            self.links.add(link)
+            try:
+                await link.serving
+                while link.is_silent and await reader.read(65536):
+                    pass
+            except ConnectionError:
+                pass
+            self.links.discard(link)
+            writer.close()
+        return serve
+
+    def silence(self, names):
+        """Connections that these instances have now swallow all that they are
+        sent, for good; new ones work."""
+        for link in self.links:
+            if link.name in names and not link.is_silent:
+                link.is_silent = True
+                link.serving.cancel()
+
+    def cut(self, names):
+        """Closes the connections of these instances until they are no longer
+        in `cut_off`."""
+        self.cut_off.update(names)
+        for link in self.links:
+            if link.name in names:
+                link.writer.transport.abort()
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -255,6 +319,8 @@
         self.name = name
         self.zone = zone
         self.accelerator = accelerator
+        self.service = "model" if accelerator else "desk"
+        self.state = "ready"
         self.layers = None
         self.orders = 0
         self.born = 1000
@@ -294,10 +360,10 @@
                 writer.transport.abort()
 
     def register(self):
-        entry = {"Service": "model" if self.accelerator else "desk",
+        entry = {"Service": self.service,
                  "Address": f"127.0.0.1:{self.port}", "Zone": self.zone,
                  "Version": "v1", "Slots": 192 if self.accelerator else 6,
-                 "State": "ready", "Sequence": 1, "born": self.born}
+                 "State": self.state, "Sequence": 1, "born": self.born}
         if self.accelerator:
             entry["Kind"] = self.accelerator
             entry["Layers"] = self.held()
@@ -403,6 +469,10 @@
         self.version = 1
         self.kinds = [{"Name": "large", "Mb": 72000.0, "pace": 3.1,
                        "ReadX": 3.2}]
+        self.plain_services = ["desk"]
+        # (prefix, kind, service)
+        self.plain_routes = [("/safe/", "safe", "desk"),
+                             ("/once/", "unsafe", "desk")]
         self.limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304,
                        "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
 
@@ -414,10 +484,13 @@
         for zone in ("a", "b"):
             for number in range(4):
                 await self.add(f"engine-{zone}{number}", zone, "large")
-            await self.add(f"desk-{zone}", zone, "")
+            for service in self.plain_services:
+                await self.add(f"{service}-{zone}", zone, "", service)
 
-    async def add(self, name, zone, accelerator):
-        self.servers[name] = self.server_type(self, name, zone, accelerator)
+    async def add(self, name, zone, accelerator, service=None):
+        server = self.server_type(self, name, zone, accelerator)
+        server.service = service or server.service
+        self.servers[name] = server
         await self.servers[name].start()
 
     def load(self, server, layers):
@@ -431,11 +504,11 @@
                    "TimeoutMs": 20000, "GoalMs": 500, "GapTargetMs": 200,
                    "Service": "model", "MaxAttempts": 2, "Resumable": True,
                    "Sticky": True} for prefix in stream_prefixes]
-        for prefix, kind in (("/safe/", "safe"), ("/once/", "unsafe")):
+        for prefix, kind, service in self.plain_routes:
             routes.append({"Name": f"r{prefix}", "Host": "shop.example",
                            "PathPrefix": prefix, "Kind": kind,
                            "TimeoutMs": 2000, "GoalMs": 150,
-                           "Service": "desk", "MaxAttempts": 2})
+                           "Service": service, "MaxAttempts": 2})
         engine = {"Slots": 192, "KvTokenBytes": 426000, "step_ms": 0.85,
                   "read_per_s": 272000.0, "loads_at_once": 6,
                   "Layers": LAYERS, "LayerMb": 1750.0, "ActBytes": 21300,
@@ -445,9 +518,10 @@
         self.store.put("config", "main", {
             "Version": self.version, "Routes": routes,
             "Services": [{"Name": "model", "HealthPath": "/health",
-                          "MaxConns": 978, "Engine": engine},
-                         {"Name": "desk", "HealthPath": "/health",
-                          "MaxConns": 110}],
+                          "MaxConns": 978, "Engine": engine}]
+                        + [{"Name": service, "HealthPath": "/health",
+                            "MaxConns": 110}
+                           for service in self.plain_services],
             "Limits": self.limits,
             "Tenants": [{"Name": "team", "ApiKeys": keys}]})
 
