Store: a view that has reached a report is complete as of its read

Wrong requests got 503 in place of 401 or 404 for up to half a second where a peer told of a change before the own long watch did: the read that brought the change counted only as of its begin, as the report was still listed as ahead. Reports that are reached are forgotten first now, in one place, and the time never goes back. Found by review; the new section fails without it by design of the old code (complete_at was the begin of the read), not run against it.

--- a/source/store/view_freshness.cpp
+++ b/source/store/view_freshness.cpp
@@ -33,6 +33,10 @@
 {
     const absl::MutexLock lock{&this->mutex};
     this->own_confirmation = this->time.now();
+    if (this->own)
+    {
+        this->forget_reached(this->own->newest_change);
+    }
     while (!this->ahead.empty() && this->ahead.front().told_at < began)
     {
         this->refuted = this->ahead.front().view;
@@ -44,7 +48,10 @@
         this->newest_reported =
             std::min(this->newest_reported, this->own->newest_change);
     }
-    this->completed_at = this->ahead.empty() ? this->own_confirmation : began;
+    const time_point complete_now =
+        this->ahead.empty() ? *this->own_confirmation : began;
+    this->completed_at =
+        std::max(this->completed_at.value_or(complete_now), complete_now);
 }
 
 void view_freshness::on_view(const view_position& view)
@@ -155,15 +162,12 @@
 
 void view_freshness::update_completeness()
 {
-    const auto has_reached = [this](const view_position& reported)
+    if (!this->own)
     {
-        return reported.newest_change <= this->own->newest_change ||
-               reported.digest == this->own->digest;
-    };
-    const bool is_complete =
-        this->own &&
-        (this->ahead.empty() || has_reached(this->ahead.back().view));
-    if (is_complete && this->peer_confirmation)
+        return;
+    }
+    this->forget_reached(this->own->newest_change);
+    if (this->ahead.empty() && this->peer_confirmation)
     {
         this->completed_at = std::max(
             this->completed_at.value_or(*this->peer_confirmation),
@@ -171,15 +175,7 @@
     }
 }
 
-bool view_freshness::is_confirmed_by_peer(time_point now) const
-{
-    const auto steps = std::min(this->rank, max_takeover_steps);
-    return this->peer_confirmation &&
-           now - *this->peer_confirmation <
-               this->options.lifetime + steps * this->options.takeover_step;
-}
-
-std::optional<time_point> view_freshness::behind_since(revision position)
+void view_freshness::forget_reached(revision position)
 {
     const auto is_reached = [&](const reported_view& reported)
     {
@@ -190,6 +186,19 @@
     const auto last = std::ranges::find_if(
         this->ahead.rbegin(), this->ahead.rend(), is_reached);
     this->ahead.erase(this->ahead.begin(), last.base());
+}
+
+bool view_freshness::is_confirmed_by_peer(time_point now) const
+{
+    const auto steps = std::min(this->rank, max_takeover_steps);
+    return this->peer_confirmation &&
+           now - *this->peer_confirmation <
+               this->options.lifetime + steps * this->options.takeover_step;
+}
+
+std::optional<time_point> view_freshness::behind_since(revision position)
+{
+    this->forget_reached(position);
     return this->ahead.empty() ? std::nullopt
                                : std::optional{this->ahead.front().since};
 }
--- a/source/store/view_freshness.hpp
+++ b/source/store/view_freshness.hpp
@@ -147,6 +147,8 @@
     /// Takes over the confirmation of a peer if this view has reached all that
     /// were reported.
     void update_completeness() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// Removes the reported views that a view at the position has reached.
+    void forget_reached(revision position) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool is_confirmed_by_peer(time_point now) const
         ABSL_SHARED_LOCKS_REQUIRED(mutex);
     /// Since when a reported view is ahead of that of this instance, whose
--- a/unit_tests/store/view_freshness_test.cpp
+++ b/unit_tests/store/view_freshness_test.cpp
@@ -334,6 +334,14 @@
         this->freshness.on_view({revision{11}, 11});
         CHECK(this->freshness.complete_at() == told);
     }
+    SECTION("or of the read that reached a peer which was ahead")
+    {
+        this->freshness.on_report({revision{11}, 11}, std::nullopt);
+        this->time.advance(100ms);
+        this->freshness.on_view({revision{11}, 11});
+        this->freshness.on_confirmed(began);
+        CHECK(this->freshness.complete_at() == this->time.now());
+    }
     SECTION("or of a read that began before a peer was ahead")
     {
         this->freshness.on_report({revision{11}, 11}, std::nullopt);
