Peers: the confirmation is read before the position

A read between the two paired an old position with a new age, so that peers took their views for complete up to 2 s too long.

--- a/source/main/relay_peers.cpp
+++ b/source/main/relay_peers.cpp
@@ -59,10 +59,11 @@
     {
         return reached;
     }
-    reached.config = this->config_view.position();
-    reached.servers = this->servers_view.position();
+    // A position must not be older than what confirms it.
     const auto config_at = config.confirmed_at();
     const auto servers_at = servers.confirmed_at();
+    reached.config = this->config_view.position();
+    reached.servers = this->servers_view.position();
     if (confirms && config_at && servers_at)
     {
         reached.age = this->time.now() - std::min(*config_at, *servers_at);
