--- a/source/control/config_order.cpp
+++ b/source/control/config_order.cpp
@@ -32,8 +32,8 @@
     revision stored_at,
     config_reading how)
 {
-    const accepted_config read{version, era_of(stored_at)};
     const std::uint64_t digest = digest_of(text);
+    const accepted_config read{version, era_of(stored_at), digest};
     const auto replaces_lost_one = [&]
     {
         return read.era > this->newest->era && !this->has_read(digest) &&
@@ -51,6 +51,8 @@
             this->unknown_up_to = std::max(this->unknown_up_to, version);
         }
     }
+    this->superseded =
+        digest != this->newest->digest && read.era > this->newest->era;
     return is_accepted;
 }
 
@@ -64,6 +66,11 @@
     return this->newest ? this->newest->version : 0;
 }
 
+bool config_order::is_superseded() const
+{
+    return this->superseded;
+}
+
 bool config_order::has_read(std::uint64_t digest) const
 {
     return std::ranges::find(this->digests, digest) != this->digests.end();
--- a/source/control/config_order.hpp
+++ b/source/control/config_order.hpp
@@ -44,11 +44,17 @@
     /// Of the newest configuration in force; 0 before the first.
     std::uint64_t version() const;
 
+    /// Whether the store, in a later era, was last seen to hold another
+    /// configuration than the one in force: it is one of the copy, or the
+    /// operator goes on from the copy.
+    bool is_superseded() const;
+
 private:
     struct accepted_config
     {
         std::uint64_t version = 0;
         store_era era;
+        std::uint64_t digest = 0;
     };
 
     bool has_read(std::uint64_t digest) const;
@@ -60,6 +66,7 @@
     std::uint64_t unknown_up_to = 0;
     /// Of the last texts read.
     std::deque<std::uint64_t> digests;
+    bool superseded = false;
 };
 
 } // namespace fireflysail
--- a/source/control/traffic_controller.cpp
+++ b/source/control/traffic_controller.cpp
@@ -151,6 +151,11 @@
     return this->has_servers;
 }
 
+bool traffic_controller::is_config_superseded() const
+{
+    return this->config_superseded;
+}
+
 void traffic_controller::apply_config(
     const stored_object& object, config_reading how)
 {
@@ -175,9 +180,12 @@
         return;
     }
     const std::uint64_t version = decoded.value().version;
-    if (!this->configs.accepts(object.value, version, object.version, how))
+    const bool is_accepted =
+        this->configs.accepts(object.value, version, object.version, how);
+    this->config_superseded = this->configs.is_superseded();
+    if (!is_accepted)
     {
-        if (version != replaced)
+        if (version != replaced || this->configs.is_superseded())
         {
             log::event(
                 log::level::info,
--- a/source/control/traffic_controller.hpp
+++ b/source/control/traffic_controller.hpp
@@ -12,6 +12,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
+#include <atomic>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -84,6 +85,10 @@
     /// True once the servers have been read.
     bool has_server_list() const;
 
+    /// Whether the store, come back from an older copy, holds another
+    /// configuration than the one in force.
+    bool is_config_superseded() const;
+
 private:
     class config_reader final : public store_consumer
     {
@@ -130,6 +135,7 @@
     servers_reader servers;
     /// Used by the thread of the configuration's watch alone.
     config_order configs;
+    std::atomic<bool> config_superseded = false;
 
     mutable absl::Mutex mutex;
     server_directory directory ABSL_GUARDED_BY(mutex);
--- a/source/main/relay_process.cpp
+++ b/source/main/relay_process.cpp
@@ -83,17 +83,6 @@
 
 } // namespace
 
-std::function<std::optional<duration>()>
-relay_process::age_of(const view_freshness& view) const
-{
-    return [this, &view]() -> std::optional<duration>
-    {
-        const auto complete_at = view.complete_at();
-        return complete_at ? std::optional{this->time.now() - *complete_at}
-                           : std::nullopt;
-    };
-}
-
 relay_process::relay_process(
     node_settings settings, platform_adapter adapter, time_point started_at)
     : settings{std::move(settings)}
@@ -272,8 +261,16 @@
         {
             return this->config_view.reads_copy() ? "copy" : "store";
         });
-    this->relay.config_age = age_of(this->config_view.freshness);
-    this->relay.servers_age = age_of(this->servers_view.freshness);
+    this->relay.config_age = [this]
+    {
+        return this->traffic.is_config_superseded()
+                   ? std::nullopt
+                   : this->time_since_complete(this->config_view);
+    };
+    this->relay.servers_age = [this]
+    {
+        return this->time_since_complete(this->servers_view);
+    };
     this->config_view.start();
     this->servers_view.start();
     this->crashes_watch.start();
@@ -351,6 +348,14 @@
         this->adapter.lagging_objects};
 }
 
+std::optional<duration>
+relay_process::time_since_complete(const store_view& view) const
+{
+    const auto complete_at = view.freshness.complete_at();
+    return complete_at ? std::optional{this->time.now() - *complete_at}
+                       : std::nullopt;
+}
+
 void relay_process::supervise_watches()
 {
     call_after(
--- a/source/main/relay_process.hpp
+++ b/source/main/relay_process.hpp
@@ -145,8 +145,7 @@
     watch_hub_status store_status() const;
 
     store_view::stores stores_of_views() const;
-    std::function<std::optional<duration>()>
-    age_of(const view_freshness& view) const;
+    std::optional<duration> time_since_complete(const store_view& view) const;
 
     /// Ends the watches that are of no use any more. Runs on the traffic
     /// thread: calls to the store hold up that of the duties.
--- a/source/relay/relay_context.hpp
+++ b/source/relay/relay_context.hpp
@@ -90,7 +90,7 @@
     /// The store has not answered for a while.
     bool store_is_lost = false;
     /// Time since the view of the configuration, or of the backend servers, was
-    /// known to be complete; none if it never was.
+    /// known to be complete; none if it never was, or is known not to be.
     std::function<std::optional<duration>()> config_age = []
     {
         return duration::zero();
--- a/unit_tests/control/traffic_controller_test.cpp
+++ b/unit_tests/control/traffic_controller_test.cpp
@@ -295,17 +295,21 @@
         CHECK(lost("7 lost", 11));
         CHECK(lost("8 lost", 12));
         CHECK_FALSE(listed(restored("6 lost", 10)));
+        CHECK(this->traffic.is_config_superseded());
         SECTION("by other ones")
         {
             CHECK(written(restored("7 anew", 11)));
+            CHECK_FALSE(this->traffic.is_config_superseded());
             CHECK_FALSE(written(restored("7 lost", 12)));
             CHECK(written(restored("8 anew", 13)));
         }
         SECTION("by the lost ones")
         {
             CHECK_FALSE(written(restored("7 lost", 11)));
+            CHECK(this->traffic.is_config_superseded());
             CHECK_FALSE(written(restored("8 lost", 12)));
             CHECK(this->board.traffic.load()->version == 8);
+            CHECK_FALSE(this->traffic.is_config_superseded());
         }
         SECTION("by one that replaces lost ones at once")
         {
