Relay: a refusal is judged by the view that it was taken from

A limit taken from an old view refused for good (413, 431) when the view became complete while the body was read: the age was asked at the end of the request. It is taken together with the configuration now, before it. Found by review, no test of its own; the tests of refusals hold.

--- a/source/relay/caller_session.cpp
+++ b/source/relay/caller_session.cpp
@@ -96,15 +96,14 @@
 }
 
 /// Whether the configuration may lack a change that is due to be in force.
-bool may_miss_changes(const relay_context& relay)
+bool may_miss_changes(const exchange& served)
 {
-    const auto age = relay.config_age();
-    return relay.store_is_lost || !age ||
-           *age > relay.node.bounds.config_in_force;
+    return served.relay.store_is_lost || !served.config_age ||
+           *served.config_age > served.relay.node.bounds.config_in_force;
 }
 
 /// Callers do not come back after what a newer configuration may allow.
-own_answer unless_stale(const relay_context& relay, own_answer why)
+own_answer unless_stale(const exchange& served, own_answer why)
 {
     switch (why)
     {
@@ -112,7 +111,7 @@
     case own_answer::body_too_large:
     case own_answer::no_route:
     case own_answer::unknown_key:
-        return may_miss_changes(relay) ? own_answer::stale_configuration : why;
+        return may_miss_changes(served) ? own_answer::stale_configuration : why;
     default:
         return why;
     }
@@ -244,7 +243,7 @@
         this->is_idle = false;
     }
     // Those in force now, which may have changed while the connection was idle.
-    next.config = this->relay.board.traffic.load();
+    next.take_config();
     const caller_limits limits = limits_of(next.config.get());
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(
@@ -289,8 +288,7 @@
         co_await this->reject(
             next,
             parser.get(),
-            unless_stale(
-                this->relay, rejection_of(error, next.config != nullptr)),
+            unless_stale(next, rejection_of(error, next.config != nullptr)),
             error.message());
         co_return read_end::rejected;
     }
@@ -317,7 +315,7 @@
          {"reason", name_of(why)},
          {"error", error},
          {"config_version", version_of(next.config.get())},
-         {"config_view_age_ms", to_log(this->relay.config_age())}});
+         {"config_view_age_ms", to_log(next.config_age)}});
     co_await answer_ourselves(next, why);
 }
 
@@ -335,7 +333,7 @@
             return own_answer::no_backend_server;
         }
     }
-    next.config = this->relay.board.traffic.load();
+    next.take_config();
     if (!next.config)
     {
         return own_answer::not_configured;
@@ -344,7 +342,7 @@
         find_route(*next.config, host_of(next.request), path_of(next.request));
     if (next.matched == nullptr)
     {
-        return unless_stale(this->relay, own_answer::no_route);
+        return unless_stale(next, own_answer::no_route);
     }
     if (next.config->has_workspaces && next.matched->needs_key)
     {
@@ -352,7 +350,7 @@
         if (holder == next.config->keys.end())
         {
             this->relay.metrics.count(request_event::unauthenticated);
-            return unless_stale(this->relay, own_answer::unknown_key);
+            return unless_stale(next, own_answer::unknown_key);
         }
         next.workspace = holder->second.workspace;
         next.rank = holder->second.rank;
@@ -489,7 +487,7 @@
          {"config_age_ms",
           served.config ? to_log(now - served.config->read_at) : -1.0},
          {"config_view_age_ms",
-          to_log(is_own ? this->relay.config_age() : std::nullopt)},
+          to_log(is_own ? served.config_age : std::nullopt)},
          {"fleet_revision",
           change_number_of(this->relay.board.fleet.load()->version)},
          {"servers_view_age_ms",
--- a/source/relay/exchange.cpp
+++ b/source/relay/exchange.cpp
@@ -231,6 +231,13 @@
     return this->expired || this->caller.has_left();
 }
 
+void exchange::take_config()
+{
+    // What is read between the two makes the view seem older than it is.
+    this->config_age = this->relay.config_age();
+    this->config = this->relay.board.traffic.load();
+}
+
 void exchange::advise_return()
 {
     this->come_back_after = this->relay.outages.retry_delay(
--- a/source/relay/exchange.hpp
+++ b/source/relay/exchange.hpp
@@ -25,7 +25,7 @@
     unknown_key,
     /// No configuration is known yet.
     not_configured,
-    /// Its route or key is not known, and changes cannot be read now.
+    /// It would be refused, by a view that may lack changes.
     stale_configuration,
     /// No backend server can run it now.
     no_backend_server,
@@ -74,6 +74,8 @@
     http_request request;
     request_facts facts;
     std::shared_ptr<const traffic_config> config;
+    /// Of the view that `config` was taken from, see relay_context.
+    std::optional<duration> config_age;
     const route* matched = nullptr;
     /// Drawn by weight among the services of the route.
     service_id service;
@@ -129,6 +131,9 @@
     /// Ends the connections of all copies that run.
     void end_copies();
 
+    /// Takes the configuration in force.
+    void take_config();
+
     /// Sets when to come back by the outage that is going on.
     void advise_return();
 };
