--- a/scripts/local_fleet.py
+++ b/scripts/local_fleet.py
@@ -18,6 +18,7 @@
 LAYERS = 32
 # Of ports that the system does not give to outgoing connections.
 MOST_PORTS = 12000
+LAST_PORT = 32000
 PORTS = random.SystemRandom()
 READY_LIMIT_S = 30
 ADMIN_CREDENTIAL = "operators-secret-of-the-demo"
@@ -36,8 +37,10 @@
                   encoding="utf-8") as file:
             last = int(file.read().split()[0]) - 1
     except OSError:
-        last = 32000
-    return max(last - MOST_PORTS, 2000), last
+        last = LAST_PORT
+    # Where the range leaves too few below it, some are taken out of it.
+    last = last if last > 2 * MOST_PORTS else LAST_PORT
+    return last - MOST_PORTS, last
 
 
 def free_ports(count):
